End a counter connection whose answer holds no number

An answer that was no number was told as a time-out, but the connection stayed in use. What the decoder made of the bytes behind a break went to other calls.

--- a/src/main/java/willowyoke/net/CounterClient.java
+++ b/src/main/java/willowyoke/net/CounterClient.java
@@ -11,6 +11,7 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.redis.ErrorRedisMessage;
 import io.netty.handler.codec.redis.RedisMessage;
+import io.netty.handler.codec.redis.SimpleStringRedisMessage;
 import io.netty.util.ReferenceCountUtil;
 import java.math.BigDecimal;
 import java.net.InetSocketAddress;
@@ -27,6 +28,8 @@
     private static final double DEAD = 3000;
     private static final double RECONNECT = 100;
     private static final int MOST_ELEMENTS = 4;
+    /** A number takes fewer bytes: a longer answer is none, and waiting for its end blocks the line. */
+    private static final int LONGEST_ANSWER = 64;
     private static final double LONGEST_LIFE = 60_000;
 
     private final Node node;
@@ -100,6 +103,15 @@
         return BigDecimal.valueOf(Math.rint(amount * 1000) / 1000).stripTrailingZeros().toPlainString();
     }
 
+    /** A decimal number; NaN where the text is none. Double.parseDouble alone also takes NaN, hex and 1f. */
+    private static double number(String text) {
+        try {
+            return text == null ? Double.NaN : new BigDecimal(text).doubleValue();
+        } catch (NumberFormatException e) {
+            return Double.NaN;
+        }
+    }
+
     /** One timer for all calls, as the limit is one: else answered ones would wake the loop once more. */
     private void expire() {
         while (!untold.isEmpty() && (untold.peek().told || untold.peek().sent + limit <= node.now())) {
@@ -135,19 +147,21 @@
     private final class Line {
         private final ArrayDeque<Call> calls = new ArrayDeque<>();
         private Channel channel;
+        private double openedAt;
         private double usedAt;
 
         void connect() {
             ChannelFuture connected = bootstrap.clone().handler(new ChannelInitializer<SocketChannel>() {
                 @Override protected void initChannel(SocketChannel channel) {
-                    Resp.codec(channel.pipeline(), MOST_ELEMENTS);
+                    Resp.codec(channel.pipeline(), MOST_ELEMENTS, LONGEST_ANSWER);
                     channel.pipeline().addLast(new Answers());
                 }
             }).connect(address);
             connected.addListener(f -> {
                 if (f.isSuccess()) {
                     channel = connected.channel();
-                    usedAt = node.now();
+                    openedAt = node.now();
+                    usedAt = openedAt;
                     for (Line line : lines) {
                         if (line.channel == null) {
                             return;
@@ -169,34 +183,39 @@
         }
 
         private final class Answers extends ChannelInboundHandlerAdapter {
+            /** Set by an answer without a number: what else comes belongs to no call. */
+            private boolean broken;
+
             @Override public void channelRead(ChannelHandlerContext ctx, Object msg) {
                 try {
-                    Call call = calls.poll(); // late or not: each answer belongs to the oldest call
-                    if (call == null) {
-                        ctx.close();
-                        return;
-                    }
-                    if (!call.told) {
-                        answered(call, (RedisMessage) msg);
+                    Call call = broken ? null : calls.poll(); // late or not: each belongs to the oldest call
+                    if (call == null || !answered(call, (RedisMessage) msg)) {
+                        breakOff(ctx);
                     }
                 } finally {
                     ReferenceCountUtil.release(msg);
                 }
             }
 
-            private void answered(Call call, RedisMessage msg) {
-                if (Resp.isValue(msg)) {
-                    try {
-                        tell(call, Gateway.Outcome.OK, Double.parseDouble(Resp.text(msg)));
-                        return;
-                    } catch (NumberFormatException e) {
-                        node.log("counter", e);
-                    }
-                } else if (msg instanceof ErrorRedisMessage) {
-                    tell(call, Gateway.Outcome.FULL, 0); // -BUSY and -ERR alike: nothing was added
-                    return;
+            /** Tells the outcome; false where the answer holds no number: it was added all the same. */
+            private boolean answered(Call call, RedisMessage msg) {
+                if (call.ping) {
+                    return msg instanceof SimpleStringRedisMessage;
                 }
-                tell(call, Gateway.Outcome.TIMEOUT, 0);
+                if (msg instanceof ErrorRedisMessage error
+                    && (error.content().startsWith("BUSY") || error.content().startsWith("ERR"))) {
+                    tell(call, Gateway.Outcome.FULL, 0); // nothing was added
+                    return true;
+                }
+                double total = number(Resp.text(msg));
+                boolean read = Double.isFinite(total);
+                tell(call, read ? Gateway.Outcome.OK : Gateway.Outcome.TIMEOUT, read ? total : 0);
+                return read;
+            }
+
+            private void breakOff(ChannelHandlerContext ctx) {
+                broken = true;
+                ctx.close();
             }
 
             @Override public void channelReadComplete(ChannelHandlerContext ctx) {
@@ -209,7 +228,8 @@
                 for (Call call = calls.poll(); call != null; call = calls.poll()) {
                     tell(call, call.written ? Gateway.Outcome.TIMEOUT : Gateway.Outcome.NO_CONNECTION, 0);
                 }
-                node.after(RECONNECT, Line.this::connect);
+                // its names have no other line: at once, unless the counter ends each as soon as it is up
+                node.after(openedAt + RECONNECT - node.now(), Line.this::connect);
                 node.flush();
             }
 
@@ -217,7 +237,7 @@
                 if (!(cause instanceof java.io.IOException)) {
                     node.log("counter", cause);
                 }
-                ctx.close();
+                breakOff(ctx); // the decoder still passes on what it makes of the bytes behind the break
             }
         }
     }
--- a/src/main/java/willowyoke/net/Resp.java
+++ b/src/main/java/willowyoke/net/Resp.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.CodecException;
 import io.netty.handler.codec.redis.ArrayRedisMessage;
 import io.netty.handler.codec.redis.BulkStringHeaderRedisMessage;
+import io.netty.handler.codec.redis.FixedRedisMessagePool;
 import io.netty.handler.codec.redis.FullBulkStringRedisMessage;
 import io.netty.handler.codec.redis.RedisArrayAggregator;
 import io.netty.handler.codec.redis.RedisBulkStringAggregator;
@@ -27,18 +28,29 @@
 
     private Resp() { }
 
-    /** Adds the codec: whole messages in, messages out; the largest array told bounds what is kept of one. */
+    /** Adds the codec for values of any length that the protocol allows. */
     static void codec(ChannelPipeline pipeline, int mostElements) {
-        pipeline.addLast(new RedisDecoder(LINE, io.netty.handler.codec.redis.FixedRedisMessagePool.INSTANCE),
-            new Bounds(), new RedisBulkStringAggregator(), new RedisArrayAggregator(mostElements, DEPTH),
-            new RedisEncoder());
+        codec(pipeline, mostElements, VALUE);
+    }
+
+    /** Adds the codec: whole messages in, messages out; the bounds told limit what is kept of one. */
+    static void codec(ChannelPipeline pipeline, int mostElements, int longestValue) {
+        pipeline.addLast(new RedisDecoder(LINE, FixedRedisMessagePool.INSTANCE),
+            new Bounds(longestValue), new RedisBulkStringAggregator(),
+            new RedisArrayAggregator(mostElements, DEPTH), new RedisEncoder());
     }
 
     /** Guards against headers that announce gigabytes: the library's own bound is 512 MB a value. */
     private static final class Bounds extends ChannelInboundHandlerAdapter {
+        private final int longest;
+
+        Bounds(int longest) {
+            this.longest = longest;
+        }
+
         @Override public void channelRead(ChannelHandlerContext ctx, Object msg) {
-            if (msg instanceof BulkStringHeaderRedisMessage header && header.bulkStringLength() > VALUE) {
-                throw new CodecException("a value of more than " + VALUE);
+            if (msg instanceof BulkStringHeaderRedisMessage header && header.bulkStringLength() > longest) {
+                throw new CodecException("a value of more than " + longest);
             }
             ctx.fireChannelRead(msg);
         }
--- a/src/test/java/willowyoke/net/NodeTest.java
+++ b/src/test/java/willowyoke/net/NodeTest.java
@@ -106,6 +106,7 @@
     private boolean drained;
     private int sockets = 256;
     private int keepAlive = 15_000;
+    private int countLimit = 1000; // on a slow machine too, what is written at once is read by then
     private volatile int failTimers;
 
     private static String entry(String id, String dial, String health) {
@@ -144,12 +145,12 @@
             {"name":"n0","listen":"127.0.0.1:0","discovery":"%s","seed":"8c1f30d27a5be964",
              "limits":{"sockets":%d},"counter":"%s","known":%s,
              "settings":{"rank":0,"group_size":2,"feedback":{"fields":["utilization","outstanding"]},
-              "family_info":{"shared_counter":true,"count_limit":80},
+              "family_info":{"shared_counter":true,"count_limit":%d},
               "limits":{"send_cap":2,"keepalive":%d,"connect_timeout":250,"probing":true},
               "request_classes":[{"name":"read","effect":"read_like","aim":600,"hard_limit":2000}],
               "tariffs":[{"name":"p","per_second":8,"depth":8}]}}"""
-            .formatted(discovery.address(), sockets,
-            counter.address(), list(41, true, entry("s0", app.address(), "active")), keepAlive);
+            .formatted(discovery.address(), sockets, counter.address(),
+                list(41, true, entry("s0", app.address(), "active")), countLimit, keepAlive);
         Script script = new Script();
         node = new Node(Config.of(Config.JSON.readTree(json), Map.of()), (settings, seed, now, actions) -> {
             script.act = actions;
@@ -383,45 +384,82 @@
         expect("probed s0 OK [0.61, 7.0]");
     }
 
-    /** Counter calls end in time as 'may have been added', and a late answer must not shift onto the next. */
-    @Test void lateCounterAnswersStayWithTheirCalls() throws Exception {
-        start();
-        Peer.Line[] lines = new Peer.Line[4];
+    /** Takes the four connections to the counter; the queue gets the one that a first call came on. */
+    private BlockingQueue<Peer.Line> counterLines() throws InterruptedException {
         BlockingQueue<Peer.Line> called = new LinkedBlockingQueue<>();
-        for (int i = 0; i < lines.length; i++) {
-            Peer.Line line = counter.accept();
-            Thread reading = new Thread(() -> {
-                try {
-                    List<String> words = line.message();
-                    while (words.get(0).equals("PING")) {
-                        line.write("+PONG\r\n");
-                        words = line.message();
-                    }
-                    assertEquals(List.of("CNT.ADD", "77", "-2.5", "4000"), words);
-                    called.add(line);
-                } catch (IOException closed) {
-                    // one of those that no call came on
+        for (int i = 0; i < 4; i++) {
+            firstCall(counter.accept(), called);
+        }
+        return called;
+    }
+
+    private void firstCall(Peer.Line line, BlockingQueue<Peer.Line> called) {
+        Thread reading = new Thread(() -> {
+            try {
+                List<String> words = line.message();
+                while (words.get(0).equals("PING")) {
+                    line.write("+PONG\r\n");
+                    words = line.message();
                 }
-            });
-            reading.setDaemon(true);
-            reading.start();
+                assertEquals(List.of("CNT.ADD", "77", "-2.5", "4000"), words);
+                called.add(line);
+            } catch (IOException closed) {
+                // one of those that no call came on
+            }
+        });
+        reading.setDaemon(true);
+        reading.start();
+    }
+
+    /** Such an answer was added all the same; the next calls go on a new connection, and are understood. */
+    @Test void aCounterAnswerWithoutANumberEndsItsConnection() throws Exception {
+        countLimit = 20_000;
+        start();
+        BlockingQueue<Peer.Line> called = counterLines();
+        Peer.Line client = client();
+        int id = 0;
+        for (String broken : new String[] {"$3\r\nNaN\r\n", "$3\r\n1x7\r\n", "$3\r\n0x1\r\n",
+            "$2\r\n1f\r\n", "$0\r\n\r\n", "$-1\r\n", "$-7\r\n$1\r\n5\r\n", ":5\r\n", "+OK\r\n", "-WHAT\r\n",
+            "$90\r\n", "$8\r\nInfinity\r\n$1\r\n5\r\n",
+            "*1\r\n$1\r\n5\r\n", "x\r\n$1\r\n5\r\n"}) {
+            get(client, "0" + ++id, "count", 20_000);
+            arrived(id, "count");
+            Peer.Line line = called.poll(10, TimeUnit.SECONDS);
+            assertNotNull(line, broken);
+            assertEquals("1", line.message().get(2));
+            line.write(broken);
+            expect("counted 77 TIMEOUT 0.0");
+            expect("counted 77 TIMEOUT 0.0");
+            assertTrue(line.ended(), broken);
+            firstCall(counter.accept(), called);
         }
+        get(client, "99", "count", 20_000);
+        arrived(id + 1, "count");
+        called.poll(10, TimeUnit.SECONDS).write("$1\r\n4\r\n$4\r\n5e+1\r\n");
+        expect("counted 77 OK 4.0");
+        expect("counted 77 OK 50.0");
+    }
+
+    /** Counter calls end in time as 'may have been added', and a late answer must not shift onto the next. */
+    @Test void lateCounterAnswersStayWithTheirCalls() throws Exception {
+        start();
+        BlockingQueue<Peer.Line> called = counterLines();
         Peer.Line client = client();
-        get(client, "01", "count", 900);
+        get(client, "01", "count", 20_000);
         arrived(1, "count");
         expect("counted 77 TIMEOUT 0.0");
         expect("counted 77 TIMEOUT 0.0");
         Peer.Line line = called.poll(10, TimeUnit.SECONDS);
         assertNotNull(line);
         assertEquals(List.of("CNT.ADD", "77", "1", "4000"), line.message());
-        get(client, "02", "count", 900);
+        get(client, "02", "count", 20_000);
         arrived(2, "count");
         line.message();
         line.message();
         line.write("$2\r\n-1\r\n$2\r\n-2\r\n$3\r\n1.5\r\n-BUSY\r\n"); // two late ones, then those in time
         expect("counted 77 OK 1.5");
         expect("counted 77 FULL 0.0");
-        get(client, "03", "count", 900);
+        get(client, "03", "count", 20_000);
         arrived(3, "count");
         line.message();
         line.close(); // after it was written: it may have been added
