Tell an answer that cannot be read as a failed attempt, not as a reset

The codec's exception closed the connection and the attempt then ended as a reset. The module takes a reset for a server that died, and its next answer for one that restarted cold: with a few broken answers from each server the whole fleet was held cold, and the cold budget, a part of what was sent lately, fell with every period. Bytes behind the break could also end as an answer.

--- a/src/main/java/willowyoke/net/ServerPool.java
+++ b/src/main/java/willowyoke/net/ServerPool.java
@@ -9,6 +9,8 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.CodecException;
+import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.redis.ArrayRedisMessage;
 import io.netty.handler.codec.redis.ErrorRedisMessage;
 import io.netty.handler.codec.redis.RedisMessage;
@@ -365,6 +367,12 @@
             if (!(cause instanceof java.io.IOException)) {
                 node.log("app server connection", cause);
             }
+            Attempt a = current;
+            if (a != null && cause instanceof CodecException
+                && !(cause instanceof PrematureChannelClosureException)) {
+                current = null; // the decoder still passes on what it makes of the bytes behind the break
+                end(a, Gateway.Outcome.ERROR, null, NO_LOAD); // the server is there: no reset
+            }
             channel.close();
         }
     }
--- a/src/test/java/willowyoke/net/NodeTest.java
+++ b/src/test/java/willowyoke/net/NodeTest.java
@@ -316,6 +316,37 @@
         expect("ended 6 0 NO_CONNECTION false");
     }
 
+    /** The server is there, and what stands behind the break is no answer: a failed attempt, not a reset. */
+    @Test void anAnswerThatCannotBeReadIsAnError() throws Exception {
+        start();
+        Peer.Line client = client();
+        Peer.Line line = server;
+        int id = 0;
+        for (String broken : new String[] {"*3\r\n$-7\r\n$1\r\nx\r\n", "x\r\n*3\r\n$1\r\nx\r\n$-1\r\n$-1\r\n",
+            "*3\r\n$2\r\nabcdef\r\n$-1\r\n$-1\r\n", "*17\r\n", "*1\r\n$70000\r\n"}) {
+            get(client, "0" + ++id, "read", 20_000);
+            arrived(id, "read");
+            line.message();
+            line.write(broken);
+            expect("ended " + id + " 0 ERROR false");
+            assertEquals(List.of("-ERR failed"), client.message(), broken);
+            assertTrue(line.ended(), broken);
+            line = nextServerLine(client, ++id);
+        }
+    }
+
+    /** A request on a new connection, which is answered: the connection is idle from then on. */
+    private Peer.Line nextServerLine(Peer.Line client, int id) throws Exception {
+        get(client, "0" + id, "read", 20_000);
+        arrived(id, "read");
+        Peer.Line line = app.accept();
+        line.message();
+        line.value("v");
+        expect("ended " + id + " 0 OK true");
+        assertEquals(List.of("v"), client.message());
+        return line;
+    }
+
     /** A late answer to an attempt that was given up must not be taken for the next one's. */
     @Test void aGivenUpAttemptEndsItsConnection() throws Exception {
         start();
