End a server connection that holds more than the answer asked for

A server may answer twice. Where a request waited for the connection it was written between the two, and took the second answer as its own: served with what no server made for it. A connection is now free for the next request only once all that has come is read, and is closed if that is more than the answer.

--- a/src/main/java/willowyoke/net/Resp.java
+++ b/src/main/java/willowyoke/net/Resp.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.redis.RedisDecoder;
 import io.netty.handler.codec.redis.RedisEncoder;
 import io.netty.handler.codec.redis.RedisMessage;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.ByteBufUtil;
 import java.nio.charset.StandardCharsets;
@@ -29,31 +30,63 @@
     private Resp() { }
 
     /** Adds the codec for values of any length that the protocol allows. */
-    static void codec(ChannelPipeline pipeline, int mostElements) {
-        codec(pipeline, mostElements, VALUE);
+    static Frames codec(ChannelPipeline pipeline, int mostElements) {
+        return codec(pipeline, mostElements, VALUE);
     }
 
     /** Adds the codec: whole messages in, messages out; the bounds told limit what is kept of one. */
-    static void codec(ChannelPipeline pipeline, int mostElements, int longestValue) {
-        pipeline.addLast(new RedisDecoder(LINE, FixedRedisMessagePool.INSTANCE),
-            new Bounds(longestValue), new RedisBulkStringAggregator(),
-            new RedisArrayAggregator(mostElements, DEPTH), new RedisEncoder());
+    static Frames codec(ChannelPipeline pipeline, int mostElements, int longestValue) {
+        LastByte last = new LastByte();
+        Frames frames = new Frames(last, longestValue);
+        pipeline.addLast(last, new RedisDecoder(LINE, FixedRedisMessagePool.INSTANCE), frames,
+            new RedisBulkStringAggregator(), new RedisArrayAggregator(mostElements, DEPTH),
+            new RedisEncoder());
+        return frames;
     }
 
-    /** Guards against headers that announce gigabytes: the library's own bound is 512 MB a value. */
-    private static final class Bounds extends ChannelInboundHandlerAdapter {
+    /** The decoder keeps a line until its end has come, and does not tell; all else it passes on. */
+    private static final class LastByte extends ChannelInboundHandlerAdapter {
+        private byte value = '\n';
+
+        @Override public void channelRead(ChannelHandlerContext ctx, Object msg) {
+            if (msg instanceof ByteBuf bytes && bytes.isReadable()) {
+                value = bytes.getByte(bytes.writerIndex() - 1);
+            }
+            ctx.fireChannelRead(msg);
+        }
+    }
+
+    /**
+     * The parts of messages as they are decoded. Guards against headers that announce gigabytes, as the
+     * library's own bound is 512 MB a value, and knows whether more has come than the messages read.
+     */
+    static final class Frames extends ChannelInboundHandlerAdapter {
+        private final LastByte last;
         private final int longest;
+        private boolean begun;
 
-        Bounds(int longest) {
+        private Frames(LastByte last, int longest) {
+            this.last = last;
             this.longest = longest;
         }
 
         @Override public void channelRead(ChannelHandlerContext ctx, Object msg) {
+            begun = true;
             if (msg instanceof BulkStringHeaderRedisMessage header && header.bulkStringLength() > longest) {
                 throw new CodecException("a value of more than " + longest);
             }
             ctx.fireChannelRead(msg);
         }
+
+        /** To be called with each whole message, which ends here. */
+        void whole() {
+            begun = false;
+        }
+
+        /** Whether a part of a further message has come. */
+        boolean surplus() {
+            return begun || last.value != '\n';
+        }
     }
 
     static FullBulkStringRedisMessage bulk(ByteBufAllocator alloc, String text) {
--- a/src/main/java/willowyoke/net/ServerPool.java
+++ b/src/main/java/willowyoke/net/ServerPool.java
@@ -174,10 +174,11 @@
             return;
         }
         for (Link link = t.idle.pollLast(); link != null; link = t.idle.pollLast()) {
-            if (link.channel.isActive()) {
+            if (link.channel.isActive() && !link.frames.surplus()) {
                 link.write(a);
                 return;
             }
+            link.channel.close();
         }
         if (open >= most && !spare()) {
             node.later(() -> end(a, Gateway.Outcome.NO_CONNECTION, null, NO_LOAD));
@@ -245,7 +246,7 @@
         ChannelFuture connected = bootstrap.clone().handler(new ChannelInitializer<SocketChannel>() {
             @Override protected void initChannel(SocketChannel channel) {
                 link.channel = channel;
-                Resp.codec(channel.pipeline(), MOST_ELEMENTS);
+                link.frames = Resp.codec(channel.pipeline(), MOST_ELEMENTS);
                 channel.pipeline().addLast(link);
             }
         }).connect(t.dial);
@@ -273,7 +274,10 @@
     private final class Link extends ChannelInboundHandlerAdapter {
         private final Target target;
         private Channel channel;
+        private Resp.Frames frames;
         private Attempt current;
+        /** Its request is answered; it is free for the next once all that has come is read. */
+        private boolean spent;
         private boolean written;
         private double usedAt;
 
@@ -297,7 +301,6 @@
 
         /** Ready for the next request: the one that has waited longest, if there is one. */
         void free() {
-            current = null;
             usedAt = node.now();
             Attempt next = target.up ? target.waiting.poll() : null;
             if (next != null) {
@@ -311,14 +314,16 @@
 
         @Override public void channelRead(ChannelHandlerContext ctx, Object msg) {
             try {
+                frames.whole();
                 Attempt a = current;
                 if (a == null) {
-                    channel.close(); // nothing was asked
+                    channel.close(); // nothing was asked: whatever follows would answer the wrong request
                     return;
                 }
                 answered(a, (RedisMessage) msg);
                 if (current == a) {
-                    free();
+                    current = null;
+                    spent = true;
                 }
             } finally {
                 ReferenceCountUtil.release(msg);
@@ -348,6 +353,14 @@
         }
 
         @Override public void channelReadComplete(ChannelHandlerContext ctx) {
+            if (spent && channel.isActive()) {
+                spent = false;
+                if (frames.surplus()) {
+                    channel.close();
+                } else {
+                    free();
+                }
+            }
             node.flush();
         }
 
--- a/src/test/java/willowyoke/net/NodeTest.java
+++ b/src/test/java/willowyoke/net/NodeTest.java
@@ -347,6 +347,25 @@
         return line;
     }
 
+    /** More than was asked for, whole or in part, must not become the answer to the next request. */
+    @Test void whatComesBehindAnAnswerEndsTheConnection() throws Exception {
+        start();
+        Peer.Line client = client();
+        Peer.Line line = server;
+        int id = 0;
+        for (String behind : new String[] {"*3\r\n$5\r\nwrong\r\n$-1\r\n$-1\r\n", "*3\r\n$5\r\nwro", "*3\r\n",
+            "*"}) {
+            get(client, "0" + ++id, "read", 20_000);
+            arrived(id, "read");
+            line.message();
+            line.write("*3\r\n$5\r\nright\r\n$-1\r\n$-1\r\n" + behind);
+            expect("ended " + id + " 0 OK true");
+            assertEquals(List.of("right"), client.message(), behind);
+            assertTrue(line.ended(), behind);
+            line = nextServerLine(client, ++id);
+        }
+    }
+
     /** A late answer to an attempt that was given up must not be taken for the next one's. */
     @Test void aGivenUpAttemptEndsItsConnection() throws Exception {
         start();
