--- a/src/main/java/willowyoke/Decide.java
+++ b/src/main/java/willowyoke/Decide.java
@@ -331,8 +331,9 @@
         }
         Customer c = call.customer;
         boolean heard = outcome == Gateway.Outcome.OK;
-        misses = heard ? 0 : misses + 1;
-        callsFailed |= !heard;
+        // a connection that broke tells neither of a crowd nor of a counter that is away
+        misses = heard ? 0 : misses + (outcome == Gateway.Outcome.RESET ? 0 : 1);
+        callsFailed |= outcome == Gateway.Outcome.FULL || outcome == Gateway.Outcome.TIMEOUT;
         if (heard) {
             counterBackoff = SUBPERIOD;
         } else if (misses >= MISSES && now >= counterSilentUntil) {
@@ -447,7 +448,7 @@
         c.asking = false;
         if (outcome != Gateway.Outcome.OK) {
             // a late call is added all the same, as a crowded counter serves those too; the next add makes up
-            c.uncounted += outcome == Gateway.Outcome.TIMEOUT ? -c.claimed : c.added - c.claimed;
+            c.uncounted += outcome.neverRan ? c.added - c.claimed : -c.claimed;
             c.askAt = nextEdge();
             return;
         }
--- a/src/main/java/willowyoke/net/CounterClient.java
+++ b/src/main/java/willowyoke/net/CounterClient.java
@@ -209,7 +209,7 @@
                 }
                 double total = number(Resp.text(msg));
                 boolean read = Double.isFinite(total);
-                tell(call, read ? Gateway.Outcome.OK : Gateway.Outcome.TIMEOUT, read ? total : 0);
+                tell(call, read ? Gateway.Outcome.OK : Gateway.Outcome.RESET, read ? total : 0);
                 return read;
             }
 
@@ -222,11 +222,11 @@
                 node.flush();
             }
 
-            /** What was written may have been added: the module knows that as a time-out. */
+            /** What was written may have been added. */
             @Override public void channelInactive(ChannelHandlerContext ctx) {
                 channel = null;
                 for (Call call = calls.poll(); call != null; call = calls.poll()) {
-                    tell(call, call.written ? Gateway.Outcome.TIMEOUT : Gateway.Outcome.NO_CONNECTION, 0);
+                    tell(call, call.written ? Gateway.Outcome.RESET : Gateway.Outcome.NO_CONNECTION, 0);
                 }
                 // its names have no other line: at once, unless the counter ends each as soon as it is up
                 node.after(openedAt + RECONNECT - node.now(), Line.this::connect);
--- a/src/test/java/willowyoke/QuotaTest.java
+++ b/src/test/java/willowyoke/QuotaTest.java
@@ -75,6 +75,31 @@
         assertTrue(b.count("count") < 12 * 4 * 2, "calls: " + b.count("count"));
     }
 
+    /** Calls in 10 s in which 200 customers ask 2000 times, where every tenth call ends as told. */
+    private static long calls(Gateway.Outcome tenth) {
+        Bench b = new Bench().start().servers(8);
+        int answered = 0;
+        for (int i = 0; i < 2000; i++) {
+            b.to(i * 5);
+            b.arrive(i, "read", "rate", "c" + i % 200);
+            while (!b.calls.isEmpty()) {
+                b.module.counted(b.now, b.calls.remove(0)[0], ++answered % 10 == 0 ? tenth : OK, 2,
+                    b.totals.remove(0));
+            }
+            for (int k = Math.max(0, i - 60); k <= i; k++) {
+                b.end(k, 0, OK);
+            }
+        }
+        return b.count("count");
+    }
+
+    @Test void aBrokenConnectionToTheCounterIsNoCrowd() {
+        long broken = calls(Gateway.Outcome.RESET);
+        assertTrue(broken > 1000, "calls: " + broken);
+        long crowded = calls(Gateway.Outcome.TIMEOUT);
+        assertTrue(crowded < broken / 2, "calls: " + crowded);
+    }
+
     @Test void aHundredGatewaysTogetherKeepTheQuotaAndFollowWeight() {
         Map<Long, Double> counter = new HashMap<>();
         List<Bench> all = new ArrayList<>();
