End a silent counter connection once later calls are answered

A connection to the counter may go silent while the others are served. It was kept until its oldest call was 3 s old; until then a quarter of the names timed out, and the module, taking that for a crowd, cut the calls for all names. The counter serves calls in turn, so an answer to a call made two limits later on another connection shows the silence at once.

--- a/src/main/java/willowyoke/net/CounterClient.java
+++ b/src/main/java/willowyoke/net/CounterClient.java
@@ -26,6 +26,11 @@
     private static final double CHECK = 1000;
     /** A connection that owes an answer for longer (ms) is one to a machine that is gone. */
     private static final double DEAD = 3000;
+    /**
+     * The counter serves calls in turn: a connection that owes an answer is silent once a call made later on
+     * another by this many limits has its own. The limits are for its queue and for what is still unread here.
+     */
+    private static final double BEHIND = 2;
     private static final double RECONNECT = 100;
     private static final int MOST_ELEMENTS = 4;
     /** A number takes fewer bytes: a longer answer is none, and waiting for its end blocks the line. */
@@ -144,6 +149,16 @@
         }
     }
 
+    /** Ends connections whose oldest call is older by far than one that was just answered. */
+    private void endSilent(double answeredCallSent) {
+        for (Line line : lines) {
+            Call oldest = line.calls.peek();
+            if (line.channel != null && oldest != null && answeredCallSent - oldest.sent > BEHIND * limit) {
+                line.channel.close();
+            }
+        }
+    }
+
     private final class Line {
         private final ArrayDeque<Call> calls = new ArrayDeque<>();
         private Channel channel;
@@ -191,6 +206,8 @@
                     Call call = broken ? null : calls.poll(); // late or not: each belongs to the oldest call
                     if (call == null || !answered(call, (RedisMessage) msg)) {
                         breakOff(ctx);
+                    } else if (!call.ping) {
+                        endSilent(call.sent);
                     }
                 } finally {
                     ReferenceCountUtil.release(msg);
--- a/src/test/java/willowyoke/net/NodeTest.java
+++ b/src/test/java/willowyoke/net/NodeTest.java
@@ -54,6 +54,7 @@
                     act.count(77, -2.5, 4000);
                     act.count(77, 1, 4000);
                 }
+                case "other" -> act.count(78, 1, 4000);
                 case "probe" -> act.probe("s0");
                 case "cancel" -> {
                     act.send(r.id(), "s0", 0);
@@ -490,6 +491,44 @@
         expect("counted 77 OK 50.0");
     }
 
+    /** The counter serves calls in turn, so what is answered on one connection tells of the others. */
+    @Test void aSilentCounterConnectionEndsWhenLaterCallsAreAnswered() throws Exception {
+        countLimit = 800;
+        start();
+        for (int i = 0; i < 4; i++) {
+            Peer.Line line = counter.accept();
+            Thread reading = new Thread(() -> {
+                try {
+                    while (true) {
+                        List<String> words = line.message();
+                        if (words.get(0).equals("PING")) {
+                            line.write("+PONG\r\n");
+                        } else if (!words.get(1).equals("77")) { // those have no answer
+                            line.write("$1\r\n1\r\n");
+                        }
+                    }
+                } catch (IOException closed) {
+                    // the edge node has ended it
+                }
+            });
+            reading.setDaemon(true);
+            reading.start();
+        }
+        Peer.Line client = client();
+        get(client, "01", "count", 20_000);
+        arrived(1, "count");
+        expect("counted 77 TIMEOUT 0.0");
+        expect("counted 77 TIMEOUT 0.0");
+        Thread.sleep(900);
+        get(client, "02", "count", 20_000);
+        arrived(2, "count");
+        get(client, "03", "other", 20_000);
+        arrived(3, "other");
+        expect("counted 78 OK 1.0");
+        expect("counted 77 RESET 0.0");
+        expect("counted 77 RESET 0.0");
+    }
+
     /** Counter calls end in time as 'may have been added', and a late answer must not shift onto the next. */
     @Test void lateCounterAnswersStayWithTheirCalls() throws Exception {
         start();
