--- a/src/main/java/willowyoke/net/CounterClient.java
+++ b/src/main/java/willowyoke/net/CounterClient.java
@@ -28,7 +28,7 @@
     private static final double DEAD = 3000;
     /**
      * The counter serves calls in turn: a connection that owes an answer is silent once a call made later on
-     * another by this many limits has its own. The limits are for its queue and for what is still unread here.
+     * another by this many limits has its own. The limits are for its queue and for what is not read yet.
      */
     private static final double BEHIND = 2;
     private static final double RECONNECT = 100;
