--- a/src/main/java/willowyoke/net/Call.java
+++ b/src/main/java/willowyoke/net/Call.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.redis.ArrayRedisMessage;
 import io.netty.handler.codec.redis.FullBulkStringRedisMessage;
 import io.netty.handler.codec.redis.RedisMessage;
+import java.math.BigDecimal;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -15,6 +16,8 @@
     private static final int ID = 2;
     private static final int LIST = 3;
     private static final int BODY = 4;
+    private static final int HEX = 16;
+    private static final long CUSTOMERS = 1L << 33;
 
     /** Throws IllegalArgumentException with what is wrong. */
     static Call of(ArrayRedisMessage command) {
@@ -29,8 +32,9 @@
         }
         String customer = Resp.text(parts.get(CUSTOMER));
         String id = Resp.text(parts.get(ID));
-        if (customer.isEmpty() || customer.length() > 64 || id.isEmpty() || id.length() > 64) {
-            throw new IllegalArgumentException("customer or id is malformed");
+        if (!isHex(customer) || !isHex(id) || customer.length() != HEX
+            || Long.compareUnsigned(Long.parseUnsignedLong(customer, HEX), CUSTOMERS) >= 0) {
+            throw new IllegalArgumentException("customer or id is malformed"); // a server would void it
         }
         String list = Resp.text(parts.get(LIST));
         String type = null;
@@ -58,9 +62,9 @@
                     waitFrom = eq + 1;
                     waitTo = to;
                 }
-                case "units" -> units = (int) number(value);
-                case "spread" -> spread = (int) number(value);
-                case "first" -> first = (int) number(value);
+                case "units" -> units = whole(value);
+                case "spread" -> spread = whole(value);
+                case "first" -> first = whole(value);
                 case "r" -> again = value.equals("1");
                 default -> { } // passed on as it is
             }
@@ -73,9 +77,22 @@
             list.substring(waitTo));
     }
 
+    private static boolean isHex(String text) {
+        return !text.isEmpty() && text.length() <= HEX
+            && text.chars().allMatch(c -> c >= '0' && c <= '9' || c >= 'a' && c <= 'f');
+    }
+
+    private static int whole(String value) {
+        try {
+            return Integer.parseInt(value);
+        } catch (NumberFormatException e) {
+            throw new IllegalArgumentException("a whole number is malformed");
+        }
+    }
+
     private static double number(String value) {
         try {
-            return Double.parseDouble(value);
+            return new BigDecimal(value).doubleValue();
         } catch (NumberFormatException e) {
             throw new IllegalArgumentException("a number is malformed");
         }
