Close a client connection that brings no whole command within 2.3 s

A peer that stays silent, or stops in the middle of its first command, was kept for ever; the terms owe it an error line or a close 3 s after it came. It is closed without a line, which a proper client about to write would misread.

--- a/src/main/java/willowyoke/net/ClientListener.java
+++ b/src/main/java/willowyoke/net/ClientListener.java
@@ -28,6 +28,8 @@
     /** A client that does not close its side after ours has ended is cut off after this (ms). */
     private static final int LINGER = 200;
     private static final int MOST_WORDS = 16;
+    /** A peer is owed an error or a close 3 s after it came (ms): by then its first command must be whole. */
+    private static final double FIRST_COMMAND = 2300;
 
     private final Node node;
     private final int most;
@@ -55,6 +57,7 @@
                     Resp.codec(channel.pipeline(), MOST_WORDS);
                     channel.pipeline().addLast(c);
                     open.add(c);
+                    node.after(FIRST_COMMAND, c::mustHaveSpoken);
                     room();
                 }
             }).bind(address).sync().channel().localAddress();
@@ -122,6 +125,7 @@
     private final class Connection extends ChannelInboundHandlerAdapter {
         private final SocketChannel channel;
         private final ArrayDeque<Slot> slots = new ArrayDeque<>();
+        private boolean spoken;
         private boolean deaf;
         private boolean finished;
 
@@ -138,6 +142,7 @@
                 open.remove(this);
                 open.add(this); // the least recently used first
             }
+            spoken = true;
             Slot slot = new Slot(this);
             slots.add(slot);
             try {
@@ -224,6 +229,13 @@
             node.flush();
         }
 
+        /** Without an error line: a client that is about to write would take it for its answer. */
+        private void mustHaveSpoken() {
+            if (!spoken && channel.isActive()) {
+                finish();
+            }
+        }
+
         /** Malformed input: after what is owed there is no telling where the next command begins. */
         @Override public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             if (cause instanceof io.netty.handler.codec.CodecException) {
