Handle SIGHUP: move to the new addresses of discovery and the counter

The configuration file is read again, its addresses before the variables' old ones; the watch goes on from its version, the counter's lines are made anew.

--- a/src/main/java/willowyoke/Main.java
+++ b/src/main/java/willowyoke/Main.java
@@ -44,6 +44,7 @@
             return;
         }
         Node node = new Node(config, Decide::new);
+        Hangup.handle(() -> reload(node)); // before the start: the JVM's own way is to end
         try {
             node.start();
         } catch (IOException bad) {
@@ -52,4 +53,13 @@
         }
         Runtime.getRuntime().addShutdownHook(new Thread(node::drain, "drain"));
     }
+
+    /** Takes in the configuration that was replaced; one that cannot be read changes nothing. */
+    private static void reload(Node node) {
+        try {
+            node.move(Config.again(System.getenv()));
+        } catch (IOException | IllegalArgumentException | SettingsReader.Bad bad) {
+            System.err.println("configuration, kept as it was: " + bad.getMessage());
+        }
+    }
 }
--- a/src/main/java/willowyoke/net/Config.java
+++ b/src/main/java/willowyoke/net/Config.java
@@ -34,6 +34,11 @@
         return of(JSON.readTree(new File(file)), env);
     }
 
+    /** Reads that file again: the addresses in it are newer than the variables. */
+    public static Config again(Map<String, String> env) throws IOException {
+        return of(JSON.readTree(new File(env.get("EDGE_CONFIG"))), Map.of());
+    }
+
     static Config of(JsonNode root, Map<String, String> env) {
         Map<String, String> keys = new HashMap<>();
         flatten("", root.path("settings"), keys);
--- a/src/main/java/willowyoke/net/CounterClient.java
+++ b/src/main/java/willowyoke/net/CounterClient.java
@@ -38,11 +38,11 @@
     private static final double LONGEST_LIFE = 60_000;
 
     private final Node node;
-    private final InetSocketAddress address;
     private final double limit;
     private final Bootstrap bootstrap;
     private final Line[] lines = new Line[LINES];
     private final ArrayDeque<Call> untold = new ArrayDeque<>();
+    private InetSocketAddress address;
     private boolean armed;
     private final CompletableFuture<Void> ready = new CompletableFuture<>();
 
@@ -87,6 +87,24 @@
         return ready;
     }
 
+    /** Goes on at another address; what is still owed at the old one may have been added. */
+    void move(InetSocketAddress to) {
+        if (to == null || to.equals(address)) {
+            return;
+        }
+        boolean first = address == null;
+        address = to;
+        if (first) {
+            start();
+            return;
+        }
+        for (Line line : lines) {
+            if (line.channel != null) {
+                line.channel.close();
+            }
+        }
+    }
+
     void add(long name, double amount, double keepFor) {
         Line line = address == null ? null : lines[(int) Math.floorMod(name, (long) LINES)];
         if (line == null || line.channel == null) {
@@ -171,7 +189,7 @@
                     Resp.codec(channel.pipeline(), MOST_ELEMENTS, LONGEST_ANSWER);
                     channel.pipeline().addLast(new Answers());
                 }
-            }).connect(address);
+            }).connect(address); // where it moves meanwhile, the old address takes no new connections
             connected.addListener(f -> {
                 if (f.isSuccess()) {
                     channel = connected.channel();
--- a/src/main/java/willowyoke/net/Discovery.java
+++ b/src/main/java/willowyoke/net/Discovery.java
@@ -45,17 +45,17 @@
 
     private final Node node;
     private final Bootstrap bootstrap;
-    private final Config config;
     private final CompletableFuture<Void> ready = new CompletableFuture<>();
+    private InetSocketAddress address;
     private Channel channel;
     private long seq = -1;
     private double heardAt;
     private double backoff = BACKOFF;
     private boolean connecting;
 
-    Discovery(Node node, EventLoopGroup group, Config config) {
+    Discovery(Node node, EventLoopGroup group, InetSocketAddress address) {
         this.node = node;
-        this.config = config;
+        this.address = address;
         bootstrap = new Bootstrap().group(group).channel(Transport.socket())
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT);
     }
@@ -74,6 +74,16 @@
         check();
     }
 
+    /** Goes on at another address, from the version that is known. */
+    void move(InetSocketAddress to) {
+        if (!to.equals(address)) {
+            address = to;
+            if (channel != null) {
+                channel.close(); // renewed at the new one
+            }
+        }
+    }
+
     /** The watch stands or is being renewed all the time. */
     void subscribe() {
         if (channel == null && !connecting) {
@@ -97,7 +107,7 @@
             @Override protected void initChannel(SocketChannel c) {
                 c.pipeline().addLast(new HttpClientCodec(), new Lines());
             }
-        }).connect(config.discovery()).addListener(f -> {
+        }).connect(address).addListener(f -> {
             if (!f.isSuccess()) {
                 connecting = false;
                 again();
@@ -159,8 +169,7 @@
             watching = seq >= 0;
             DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
                 watching ? PATH + "?follow=1&since=" + seq : PATH);
-            InetSocketAddress at = config.discovery();
-            request.headers().set(HttpHeaderNames.HOST, at.getHostString() + ":" + at.getPort());
+            request.headers().set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort());
             ctx.writeAndFlush(request);
         }
 
--- a/src/main/java/willowyoke/net/Node.java
+++ b/src/main/java/willowyoke/net/Node.java
@@ -104,7 +104,7 @@
         servers = new ServerPool(this, group, config, (int) (config.sockets() * SERVERS));
         counter = new CounterClient(this, group, config.counter(), config.settings().allowed()
             .counterTimeout());
-        discovery = new Discovery(this, group, config);
+        discovery = new Discovery(this, group, config.discovery());
     }
 
     // ---- life ----
@@ -160,6 +160,14 @@
         group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).awaitUninterruptibly(500);
     }
 
+    /** SIGHUP: discovery and the counter have moved; all else stays as it was at the start. */
+    public void move(Config changed) {
+        group.execute(() -> guarded(() -> {
+            discovery.move(changed.discovery());
+            counter.move(changed.counter());
+        }));
+    }
+
     private void whenIdle() {
         if (clients.idle()) {
             ended.complete(null);
--- a/src/test/java/willowyoke/net/NodeTest.java
+++ b/src/test/java/willowyoke/net/NodeTest.java
@@ -104,6 +104,7 @@
     private Peer.Line watch;
     private Peer.Line server;
     private Node node;
+    private String config;
     private boolean drained;
     private int sockets = 256;
     private int keepAlive = 15_000;
@@ -153,6 +154,7 @@
             .formatted(discovery.address(), sockets, counter.address(),
                 list(41, true, entry("s0", app.address(), "active")), countLimit, keepAlive);
         Script script = new Script();
+        config = json;
         node = new Node(Config.of(Config.JSON.readTree(json), Map.of()), (settings, seed, now, actions) -> {
             script.act = actions;
             assertEquals(2, settings.nodes());
@@ -242,7 +244,7 @@
     @Test void commandsInPiecesAreTakenWhenWhole() throws Exception {
         start();
         Peer.Line client = client();
-        String whole = "*1\r\n$4\r\nPING\r\n*4\r\n$8\r\nCALL.GET\r\n$2\r\nab\r\n$2"
+        String whole = "*1\r\n$4\r\nPING\r\n*4\r\n$8\r\nCALL.GET\r\n$16\r\n" + CUSTOMER + "\r\n$2"
             + "\r\n01\r\n$19\r\nc=refuse,t=p,d=500.\r\n";
         client.socket.setTcpNoDelay(true);
         for (char c : whole.toCharArray()) {
@@ -261,7 +263,12 @@
             {"CALL.GET", "a", "b", "c=read,t=p,d=x"}, {"CALL.GET", "a", "b", "c=read,t=p,d=-1"},
             {"CALL.GET", "a", "b", "c=read,t=p,d=NaN"}, {"CALL.GET", "a", "b", "d"}, {"CALL.GET", "", "b",
                 "d=1"},
-            {"CALL.GET", "a", "b", "c=read,t=p,d=9,units=-1"}, {"CALL.GET", "a", "b", "c", "d", "e"}}) {
+            {"CALL.GET", "a", "b", "c=read,t=p,d=9,units=-1"}, {"CALL.GET", "a", "b", "c", "d", "e"},
+            {"CALL.GET", "a", "b", "c=read,t=p,d=9"}, {"CALL.GET", CUSTOMER, "xyz", "c=read,t=p,d=9"},
+            {"CALL.GET", "0000000200000000", "b", "c=read,t=p,d=9"},
+            {"CALL.GET", "+0000000b4d65521", "b", "c=read,t=p,d=9"},
+            {"CALL.GET", CUSTOMER, "b", "c=read,t=p,d=0x9p9"}, {"CALL.GET", CUSTOMER, "b", "c=read,t=p,d=9f"},
+            {"CALL.GET", CUSTOMER, "b", "c=read,t=p,d=9,units=1.5"}}) {
             client.command(words);
             assertTrue(client.message().get(0).startsWith("-ERR "));
         }
@@ -589,6 +596,40 @@
         assertEquals("GET /catalog/members?follow=1&since=41 HTTP/1.1", next.line());
     }
 
+    /** At SIGHUP discovery and the counter are at other addresses; the list goes on from its version. */
+    @Test void itMovesToNewAddresses() throws Exception {
+        start();
+        for (int i = 0; i < 4; i++) {
+            counter.accept();
+        }
+        try (Peer newDiscovery = new Peer(); Peer newCounter = new Peer()) {
+            String moved = config.replace(discovery.address(), newDiscovery.address())
+                .replace(counter.address(), newCounter.address());
+            node.move(Config.of(Config.JSON.readTree(moved), Map.of()));
+            Peer.Line next = newDiscovery.accept();
+            assertEquals("GET /catalog/members?follow=1&since=41 HTTP/1.1", next.line());
+            assertTrue(watch.ended());
+            for (int i = 0; i < 4; i++) {
+                newCounter.accept();
+            }
+        }
+    }
+
+    /** A peer that sends nothing, or not the whole of a command, is owed a close 3 s after it came. */
+    @Test void aPeerWithoutACommandIsClosed() throws Exception {
+        start();
+        Peer.Line silent = client();
+        Peer.Line half = client();
+        half.write("*4\r\n$8\r\nCALL.GET\r\n$16\r\n0000");
+        Peer.Line proper = client();
+        proper.command("PING");
+        assertEquals(List.of("+PONG"), proper.message());
+        assertTrue(silent.ended());
+        assertTrue(half.ended());
+        proper.command("PING");
+        assertEquals(List.of("+PONG"), proper.message());
+    }
+
     /** At SIGTERM connections still come for a while; what is taken is answered, and then it ends. */
     @Test void itDrainsBeforeItEnds() throws Exception {
         start();
