Run the code of requests before the node listens

For 5 s after the first request a node on 0.3 core ran at its limit in code not yet compiled (1.0 s of event loop, 0.4 s of compiling); requests waited for the module, and the counter's answers came too late. A throw-away module and the codec are now played to first; nothing is sent anywhere.

--- a/src/main/java/willowyoke/Main.java
+++ b/src/main/java/willowyoke/Main.java
@@ -7,6 +7,7 @@
 import java.nio.charset.StandardCharsets;
 import willowyoke.net.Config;
 import willowyoke.net.Node;
+import willowyoke.net.Warmup;
 
 /** The command line: {@code drill} speaks the simulator's wire, {@code serve} is a real edge node. */
 public final class Main {
@@ -45,6 +46,7 @@
         }
         Node node = new Node(config, Decide::new);
         Hangup.handle(() -> reload(node)); // before the start: the JVM's own way is to end
+        Warmup.run(config, Decide::new);
         try {
             node.start();
         } catch (IOException bad) {
--- a/src/test/java/willowyoke/net/Rehearsal.java
+++ b/src/test/java/willowyoke/net/Rehearsal.java
@@ -43,7 +43,9 @@
         try (Peer app = new Peer(); Peer counter = new Peer(); Peer discovery = new Peer()) {
             stand(discovery, Rehearsal::list);
             stand(counter, line -> answer(line, "$1\r\n1\r\n"));
-            stand(app, line -> answer(line, "*3\r\n$1\r\nv\r\n$-1\r\n$29\r\nutil=0.61,inflight=7,qps=30.5\r\n"));
+            String report = "util=0.61,inflight=7,qps=30.5";
+            stand(app, line -> answer(line,
+                "*3\r\n$1\r\nv\r\n$-1\r\n$" + report.length() + "\r\n" + report + "\r\n"));
             Files.writeString(file, """
                 {"name":"n0","listen":"127.0.0.1:%d","discovery":"%s","counter":"%s","seed":"1",
                  "limits":{"sockets":256},"settings":%s,"known":{"seq":41,"whole":true,"hosts":[
@@ -72,8 +74,9 @@
         for (int i = 0; i < ROUNDS; i++) {
             for (Peer.Line client : clients) { // written to all, then read: some wait out their 300 ms
                 String terms = ",d=300,units=2,spread=2,first=0,t=" + (i % 4 == 0 ? "q" : "p");
-                client.command("CALL.GET", "000000000000000" + i % 3, "0" + i, "c=read" + terms);
-                client.command("CALL.POST", "000000000000000" + i % 3, "1" + i, "c=keyed,k=1" + terms, "body");
+                String customer = "000000000000000" + i % 3;
+                client.command("CALL.GET", customer, "0" + i, "c=read" + terms);
+                client.command("CALL.POST", customer, "1" + i, "c=keyed,k=1" + terms, "body");
             }
             for (Peer.Line client : clients) {
                 client.message();
