Take over the listening socket as descriptor 0 and answer PING on the second address

The code run before the start, and the wait for lists and connections, are bounded by the age of the process. At SIGTERM the old one stops listening at once and ends each client connection right behind an answer, the idle ones one by one.

--- a/src/main/java/willowyoke/Main.java
+++ b/src/main/java/willowyoke/Main.java
@@ -5,12 +5,19 @@
 import java.io.InputStreamReader;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
 import willowyoke.net.Config;
 import willowyoke.net.Node;
 import willowyoke.net.Warmup;
 
 /** The command line: {@code drill} speaks the simulator's wire, {@code serve} is a real edge node. */
 public final class Main {
+    /** A start is to take clients within 6 s: the code is run until then (ms), what is slow waited for. */
+    private static final long RUN_UNTIL = 3000;
+    private static final long READY_BY = 4800;
+    private static final long READY_LEAST = 500;
+
     private Main() { }
 
     /** Runs the command and exits non-zero with one plain line where the input is malformed. */
@@ -46,9 +53,10 @@
         }
         Node node = new Node(config, Decide::new);
         Hangup.handle(() -> reload(node)); // before the start: the JVM's own way is to end
-        Warmup.run(config, Decide::new);
+        Warmup.run(config, Decide::new, RUN_UNTIL - age());
         try {
-            node.start();
+            node.start(Math.max(READY_LEAST, READY_BY - age()));
+            System.err.println("takes clients after " + age() + " ms");
         } catch (IOException bad) {
             System.err.println("start: " + bad.getMessage());
             System.exit(1);
@@ -56,6 +64,12 @@
         Runtime.getRuntime().addShutdownHook(new Thread(node::drain, "drain"));
     }
 
+    /** How long this process has been there (ms), the start of its JVM included. */
+    private static long age() {
+        return ProcessHandle.current().info().startInstant()
+            .map(at -> Duration.between(at, Instant.now()).toMillis()).orElse(0L);
+    }
+
     /** Takes in the configuration that was replaced; one that cannot be read changes nothing. */
     private static void reload(Node node) {
         try {
--- a/src/main/java/willowyoke/net/ClientListener.java
+++ b/src/main/java/willowyoke/net/ClientListener.java
@@ -3,6 +3,7 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
@@ -15,6 +16,7 @@
 import io.netty.handler.codec.redis.RedisMessage;
 import io.netty.handler.codec.redis.SimpleStringRedisMessage;
 import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
 import java.net.SocketAddress;
 import java.util.ArrayDeque;
 import java.util.LinkedHashSet;
@@ -42,9 +44,10 @@
         this.most = most;
     }
 
-    /** Binds; throws where the address cannot be had. */
-    SocketAddress bind(EventLoopGroup group, SocketAddress address) throws InterruptedException {
-        return new ServerBootstrap().group(group).channel(Transport.listener())
+    /** Binds, or listens on the inherited socket; throws where that cannot be had. */
+    SocketAddress bind(EventLoopGroup group, SocketAddress address, boolean inherited)
+        throws IOException, InterruptedException {
+        ServerBootstrap bootstrap = new ServerBootstrap().group(group)
             .option(ChannelOption.SO_BACKLOG, 1024).option(ChannelOption.SO_REUSEADDR, true)
             .handler(new ChannelInitializer<ServerSocketChannel>() {
                 @Override protected void initChannel(ServerSocketChannel channel) {
@@ -60,7 +63,10 @@
                     node.after(FIRST_COMMAND, c::mustHaveSpoken);
                     room();
                 }
-            }).bind(address).sync().channel().localAddress();
+            });
+        ChannelFuture listening = inherited ? Transport.inherit(bootstrap)
+            : bootstrap.channel(Transport.listener()).bind(address);
+        return listening.sync().channel().localAddress();
     }
 
     /** At the bound the connection idle for longest goes; with none idle, accepting waits for a close. */
@@ -76,13 +82,20 @@
         listener.config().setAutoRead(open.size() < most + Math.max(1, most / 16));
     }
 
-    /** Ends the connections that are between requests, and from now on each after its last answer. */
+    /** From now on each connection ends right behind an answer: its client is not yet about to write. */
+    void closeBehindAnswers() {
+        closing = true;
+    }
+
+    /** Ends the connections that are between requests: each by itself, as a request may come meanwhile. */
     void close() {
         closing = true;
-        for (Connection c : open.toArray(new Connection[0])) {
-            if (c.slots.isEmpty()) {
-                c.finish();
-            }
+        for (Connection c : open) {
+            node.later(() -> {
+                if (c.slots.isEmpty()) {
+                    c.finish();
+                }
+            });
         }
     }
 
--- a/src/main/java/willowyoke/net/Config.java
+++ b/src/main/java/willowyoke/net/Config.java
@@ -12,12 +12,12 @@
 import willowyoke.SettingsReader;
 
 /**
- * What this edge node is told at its start. The times are milliseconds; counter and known are null where the
- * file has none.
+ * What this edge node is told at its start. The times are milliseconds; counter, control and known are null
+ * where the file has none; inherited: the listening socket stands open as descriptor 0.
  */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery,
-    InetSocketAddress counter, long seed, int sockets, JsonNode known, Gateway.Settings settings,
-    double keepAlive, double connectTimeout) {
+    InetSocketAddress counter, InetSocketAddress control, boolean inherited, long seed, int sockets,
+    JsonNode known, Gateway.Settings settings, double keepAlive, double connectTimeout) {
 
     static final ObjectMapper JSON = new ObjectMapper();
     /** Where the settings say nothing of connections. */
@@ -45,15 +45,24 @@
         double idle = SettingsReader.number(keys, "limits.keepalive");
         double connect = SettingsReader.number(keys, "limits.connect_timeout");
         String counter = root.path("counter").asText("");
+        String control = env.getOrDefault("EDGE_CONTROL", root.path("control").asText(""));
         return new Config(text(env, "EDGE_NAME", root, "name"),
             address(text(env, "EDGE_LISTEN", root, "listen")),
             address(text(env, "EDGE_DISCOVERY", root, "discovery")),
-            counter.isEmpty() ? null : address(counter), seed(root.path("seed").asText("0")),
+            counter.isEmpty() ? null : address(counter), control.isEmpty() ? null : address(control),
+            inherited(env.getOrDefault("EDGE_SOCKET_FD", "")), seed(root.path("seed").asText("0")),
             root.path("limits").path("sockets").asInt(SOCKETS),
             root.hasNonNull("known") ? root.get("known") : null, SettingsReader.read(keys),
             idle > 0 ? idle : KEEP_ALIVE, connect > 0 ? connect : CONNECT_TIMEOUT);
     }
 
+    private static boolean inherited(String descriptor) {
+        if (!descriptor.isEmpty() && !descriptor.equals("0")) {
+            throw new IllegalArgumentException("EDGE_SOCKET_FD: only 0 can be inherited");
+        }
+        return !descriptor.isEmpty();
+    }
+
     private static String text(Map<String, String> env, String variable, JsonNode root, String key) {
         String value = env.getOrDefault(variable, root.path(key).asText(""));
         if (value.isEmpty()) {
--- a/src/main/java/willowyoke/net/Node.java
+++ b/src/main/java/willowyoke/net/Node.java
@@ -35,14 +35,13 @@
     private static final double WAY_BACK = 10;
     /** The end of the client's wait has been told to the module; it answers by then (ms), or we do. */
     private static final double LAST_WORD = 8;
-    /** The parts of lists, connections and code that are not ready by then (ms) are not waited for. */
-    private static final long READY_WITHIN = 4000;
     /** New connections go on coming for up to 0.4 s after SIGTERM. */
     private static final long STAY_OPEN = 450;
     private static final long LISTEN_ON = 600;
     /** Of the sockets that may be held: files, counter, discovery and the loop's own take the rest. */
     private static final double CLIENTS = 0.55;
     private static final double SERVERS = 0.3;
+    private static final double CALLERS = 0.04;
     /** What all held requests' values may take (bytes) before clients are read no further. */
     private static final long HELD = 8L << 20;
     /** A timer on which the module failed comes once more after this (ms). */
@@ -96,6 +95,7 @@
     private long held;
     private int logged;
     private SocketAddress address;
+    private SocketAddress control;
 
     public Node(Config config, Maker maker) {
         this.config = config;
@@ -109,8 +109,11 @@
 
     // ---- life ----
 
-    /** Comes up, and listens only once it is ready: a front takes in what answers. */
-    public void start() throws IOException {
+    /**
+     * Comes up, and listens only once it is ready: a front takes in what answers. Lists and connections that
+     * are not there within so many milliseconds are not waited for.
+     */
+    public void start(long within) throws IOException {
         CompletableFuture<Void> ready = new CompletableFuture<>();
         group.execute(() -> {
             try {
@@ -126,7 +129,7 @@
                 .thenRun(() -> ready.complete(null));
         });
         try {
-            ready.get(READY_WITHIN, TimeUnit.MILLISECONDS);
+            ready.get(within, TimeUnit.MILLISECONDS);
         } catch (TimeoutException e) {
             System.err.println("ready with what there is: discovery " + discovery.ready().isDone()
                 + ", servers " + servers.ready().isDone() + ", counter " + counter.ready().isDone());
@@ -137,7 +140,11 @@
             throw new IOException(e);
         }
         try {
-            address = clients.bind(group, config.listen());
+            address = clients.bind(group, config.listen(), config.inherited());
+            if (config.control() != null) {
+                int callers = Math.max(8, (int) (config.sockets() * CALLERS));
+                control = new Control(this, callers, this::call).bind(group, config.control());
+            }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
@@ -147,19 +154,43 @@
         return address;
     }
 
+    SocketAddress control() {
+        return control;
+    }
+
+    /** Answers a call on the second address, which is open as long as this process takes clients. */
+    private String call(String line) {
+        return switch (line) {
+            case "PING" -> Control.YES;
+            default -> Control.NO + " unknown call";
+        };
+    }
+
     /** SIGTERM: answers all that is taken and then ends; returns when that is done. */
     public void drain() {
         group.execute(() -> {
-            after(STAY_OPEN, clients::close);
-            after(LISTEN_ON, () -> {
-                clients.unbind();
-                whenIdle();
-            });
+            if (config.inherited()) {
+                handOver();
+            } else {
+                after(STAY_OPEN, clients::close);
+                after(LISTEN_ON, () -> {
+                    clients.unbind();
+                    whenIdle();
+                });
+            }
         });
         ended.join();
         group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).awaitUninterruptibly(500);
     }
 
+    /** Another process takes the clients from here on: the socket stays open there, with who waits in it. */
+    private void handOver() {
+        clients.unbind();
+        clients.closeBehindAnswers();
+        after(STAY_OPEN, clients::close);
+        after(LISTEN_ON, this::whenIdle);
+    }
+
     /** SIGHUP: discovery and the counter have moved; all else stays as it was at the start. */
     public void move(Config changed) {
         group.execute(() -> guarded(() -> {
--- a/src/main/java/willowyoke/net/Warmup.java
+++ b/src/main/java/willowyoke/net/Warmup.java
@@ -26,19 +26,24 @@
     private static final double TOOK = 20;
 
     private final Gateway.Settings settings;
+    private final long until;
     private final ArrayDeque<Sent> sent = new ArrayDeque<>();
     private final ArrayDeque<Long> counted = new ArrayDeque<>();
 
     private record Sent(long id, int number) { }
 
-    private Warmup(Gateway.Settings settings) {
+    private Warmup(Gateway.Settings settings, long until) {
         this.settings = settings;
+        this.until = until;
     }
 
-    /** Plays to a module of this configuration, and to the codec; no socket is opened. */
-    public static void run(Config config, Node.Maker maker) {
+    /**
+     * Plays to a module of this configuration, and to the codec, for so many milliseconds at the most; no
+     * socket is opened.
+     */
+    public static void run(Config config, Node.Maker maker, long within) {
         if (!config.settings().classes().isEmpty() && !config.settings().plans().isEmpty()) {
-            Warmup warmup = new Warmup(config.settings());
+            Warmup warmup = new Warmup(config.settings(), System.nanoTime() + within * 1_000_000);
             warmup.play(maker, config.seed());
             warmup.encode();
         }
@@ -52,7 +57,7 @@
             servers.add(new Gateway.Server("s" + i, i, "", Gateway.State.UP, "", 0, 1));
         }
         module.servers(now, servers, true);
-        for (int i = 0; i < ROUNDS; i++) {
+        for (int i = 0; i < ROUNDS && System.nanoTime() < until; i++) {
             now += STEP;
             Gateway.RequestClass type = settings.classes().get(i % settings.classes().size());
             Gateway.Plan plan = settings.plans().get(i % settings.plans().size());
@@ -75,7 +80,7 @@
             + ",d=900,units=1,spread=2,first=0";
         byte[] command = ("*4\r\n$8\r\nCALL.GET\r\n$16\r\n0000000000000001\r\n$1\r\n1\r\n$" + list.length()
             + "\r\n" + list + "\r\n").getBytes(StandardCharsets.US_ASCII);
-        for (int i = 0; i < ROUNDS; i++) {
+        for (int i = 0; i < ROUNDS && System.nanoTime() < until; i++) {
             channel.writeInbound(Unpooled.wrappedBuffer(command));
             ArrayRedisMessage read = channel.readInbound();
             frames.whole();
--- a/src/test/java/willowyoke/net/NodeTest.java
+++ b/src/test/java/willowyoke/net/NodeTest.java
@@ -145,7 +145,7 @@
     private void start() throws Exception {
         String json = """
             {"name":"n0","listen":"127.0.0.1:0","discovery":"%s","seed":"8c1f30d27a5be964",
-             "limits":{"sockets":%d},"counter":"%s","known":%s,
+             "limits":{"sockets":%d},"counter":"%s","control":"127.0.0.1:0","known":%s,
              "settings":{"rank":0,"group_size":2,"feedback":{"fields":["utilization","outstanding"]},
               "family_info":{"shared_counter":true,"count_limit":%d},
               "limits":{"send_cap":2,"keepalive":%d,"connect_timeout":250,"probing":true},
@@ -169,7 +169,7 @@
             }
         });
         watching.start();
-        node.start();
+        node.start(4000);
         watching.join();
         server = app.accept(); // the connection made ahead
         expect("whole s0 UP");
@@ -615,6 +615,37 @@
         }
     }
 
+    /** One call on the second address: all lines of the answer, to its end. */
+    private List<String> call(String line) throws IOException {
+        try (Peer.Line caller = caller()) {
+            caller.write(line);
+            List<String> answer = new ArrayList<>();
+            for (String text = caller.line(); text != null; text = caller.lineOrEnd()) {
+                answer.add(text);
+            }
+            return answer;
+        }
+    }
+
+    private Peer.Line caller() throws IOException {
+        return Peer.Line.to(((InetSocketAddress) node.control()).getPort());
+    }
+
+    /** Beside more callers that keep half a line than are held; what is no call is told so. */
+    @Test void theSecondAddressAnswersEachLine() throws Exception {
+        start();
+        for (int i = 0; i < 30; i++) {
+            Peer.Line half = caller();
+            open.add(half);
+            half.write("PIN");
+            assertEquals(List.of("SUCCESS"), call("PING\n"));
+        }
+        assertEquals(List.of("SUCCESS"), call("PING\r\nPING\n"));
+        assertEquals(List.of("FAILURE unknown call"), call("\n"));
+        assertEquals(List.of("FAILURE unknown call"), call("PING " + "x".repeat(200) + "\n"));
+        assertEquals(List.of("FAILURE unknown call"), call("x".repeat(100_000)));
+    }
+
     /** A peer that sends nothing, or not the whole of a command, is owed a close 3 s after it came. */
     @Test void aPeerWithoutACommandIsClosed() throws Exception {
         start();
@@ -671,7 +702,8 @@
         EventLoopGroup group = Transport.loop();
         try {
             Thread.currentThread().interrupt();
-            assertThrows(InterruptedException.class, () -> new ClientListener(node, 8).bind(group, address));
+            assertThrows(InterruptedException.class,
+                () -> new ClientListener(node, 8).bind(group, address, false));
             group.submit(() -> { }).sync(); // the bind that was left to the loop is done
             group.submit(() -> { }).sync();
             try (Peer.Line line = Peer.Line.to(address.getPort())) {
--- a/src/test/java/willowyoke/net/Peer.java
+++ b/src/test/java/willowyoke/net/Peer.java
@@ -42,6 +42,15 @@
             return text.toString().replace("\r", "");
         }
 
+        /** The next line, or null where the other side has ended. */
+        String lineOrEnd() throws IOException {
+            try {
+                return line();
+            } catch (EOFException | java.net.SocketException end) {
+                return null;
+            }
+        }
+
         /** Reads one RESP message: an array as its parts, a bulk string as one part, else the line. */
         List<String> message() throws IOException {
             String head = line();
--- a/src/test/java/willowyoke/net/Rehearsal.java
+++ b/src/test/java/willowyoke/net/Rehearsal.java
@@ -15,7 +15,7 @@
  * in which requests already come.
  */
 public final class Rehearsal {
-    private static final String SETTINGS = """
+    static final String SETTINGS = """
         {"rank":0,"group_size":2,"tick":4,"feedback":{"fields":["utilization","outstanding"]},
          "family_info":{"shared_counter":true,"count_limit":80,"most_units":6},
          "contract":{"cold_share":0.3,"warm_after":2000,"overload_factor":3,"overload_for":500},
@@ -48,6 +48,7 @@
                 "*3\r\n$1\r\nv\r\n$-1\r\n$" + report.length() + "\r\n" + report + "\r\n"));
             Files.writeString(file, """
                 {"name":"n0","listen":"127.0.0.1:%d","discovery":"%s","counter":"%s","seed":"1",
+                 "control":"127.0.0.1:0",
                  "limits":{"sockets":256},"settings":%s,"known":{"seq":41,"whole":true,"hosts":[
                   {"host":"s0","dial":"%s","site":"a","class":"m","block":1,"health":"active"}]}}"""
                 .formatted(port, discovery.address(), counter.address(), SETTINGS, app.address()));
@@ -90,7 +91,7 @@
         }
     }
 
-    private static Peer.Line connect(int port) throws Exception {
+    static Peer.Line connect(int port) throws Exception {
         for (int tries = 0;; tries++) {
             try {
                 Peer.Line line = Peer.Line.to(port);
@@ -106,11 +107,11 @@
         }
     }
 
-    private interface Part {
+    interface Part {
         void play(Peer.Line line) throws IOException;
     }
 
-    private static void stand(Peer peer, Part part) {
+    static void stand(Peer peer, Part part) {
         Thread accepting = new Thread(() -> {
             while (true) {
                 try {
@@ -133,13 +134,13 @@
         accepting.start();
     }
 
-    private static void answer(Peer.Line line, String text) throws IOException {
+    static void answer(Peer.Line line, String text) throws IOException {
         while (true) {
             line.write(line.message().get(0).equals("PING") ? "+PONG\r\n" : text);
         }
     }
 
-    private static void list(Peer.Line line) throws IOException {
+    static void list(Peer.Line line) throws IOException {
         while (!line.line().isEmpty()) {
             continue; // the request's head
         }
--- a/src/test/java/willowyoke/net/WarmupTest.java
+++ b/src/test/java/willowyoke/net/WarmupTest.java
@@ -27,7 +27,7 @@
                         actions.count(7, 1, 1000);
                     }
                     return null;
-                }));
+                }), 60_000);
         assertTrue(told.get("arrived") > 0);
         assertEquals(told.get("arrived"), told.get("ended"));
         assertEquals(told.get("arrived"), told.get("counted"));
