Leave out the flag servers that operators take out, and tell the figures

The module owns the set of servers out by hand and sends them nothing, whatever the list says; the pool ends what waits for them. A file for each in $TMPDIR/detached carries the set to the process that replaces this one. INFO gives the counts. Seen to fail before: the second address knew neither call nor figure.

--- a/src/main/java/willowyoke/Decide.java
+++ b/src/main/java/willowyoke/Decide.java
@@ -61,7 +61,7 @@
     private double paceRate, paceCredit, pacedAt, paceWake, askRate, askedInPeriod;
     private final Set<Customer> active = new LinkedHashSet<>();
     private double callLimit, callsLeft, callsMost;
-    private boolean callsFailed;
+    private boolean callsFailed, replaced;
     private double counterBackoff = SUBPERIOD, subscribeBackoff = 4 * SUBPERIOD;
 
     /** A class with the mean time that its answers take. */
@@ -142,7 +142,8 @@
     private static final class Host {
         final String id;
         Gateway.Server told;
-        boolean listed = true;
+        boolean listed, up, detached; // up: listed as such
+        double detachedAt;
         final LinkedHashSet<Attempt> out = new LinkedHashSet<>();
         double slow = 1, slowAt;
         double limit = 4; // at first about two for each core of a small machine
@@ -191,24 +192,23 @@
         begin(time);
         if (whole) {
             for (Host h : hosts.values()) {
-                h.listed = false;
+                h.listed = h.up = false;
             }
         }
         for (Gateway.Server s : list) {
             Host h = hosts.computeIfAbsent(s.id(), Host::new);
-            h.listed = s.state() == Gateway.State.UP;
+            h.listed = s.state() != Gateway.State.GONE;
+            h.up = s.state() == Gateway.State.UP;
             boolean restarted = h.told != null && s.startedAt() > h.told.startedAt();
             h.told = s;
             if (s.startedAt() > 0 && s.startedAt() + set.rules().warmAfter() > now) {
                 cold(h, s.startedAt());
             }
             if (restarted) {
-                h.fails = h.ejectedUntil = h.ejections = 0;
-                h.slow = 1;
-                h.failing.clear();
+                renewed(h);
             }
         }
-        up = (int) hosts.values().stream().filter(h -> h.listed).count();
+        countUp();
         if (edges < 4 && up > 0) { // at first two out at each server, of all gateways together
             paceRate = Math.max(paceRate, 2000.0 * up / set.nodes() / (meanAim / 8));
             paceCredit = Math.max(2, paceRate * SUBPERIOD / 1000);
@@ -216,6 +216,57 @@
         pump();
     }
 
+    private void countUp() {
+        up = (int) hosts.values().stream().filter(h -> h.up && !h.detached).count();
+    }
+
+    @Override public void detached(double time, Set<String> servers) {
+        begin(time);
+        for (String id : servers) {
+            Host h = hosts.computeIfAbsent(id, Host::new);
+            h.detachedAt = h.detached ? h.detachedAt : now;
+            h.detached = true;
+        }
+        for (Host h : hosts.values()) {
+            if (h.detached && !servers.contains(h.id)) {
+                attach(h);
+            }
+        }
+        countUp();
+        pump();
+    }
+
+    /** Most are restarted while they are out: nothing learnt holds, and the list may be late to tell. */
+    private void attach(Host h) {
+        h.detached = false;
+        renewed(h);
+        if (h.told == null || h.told.startedAt() < h.detachedAt) {
+            cold(h, now);
+        }
+    }
+
+    private static void renewed(Host h) {
+        h.fails = h.ejectedUntil = h.ejections = 0;
+        h.slow = 1;
+        h.trial = h.wasDead = false;
+        h.failing.clear();
+    }
+
+    @Override public void replaced(double time) {
+        begin(time);
+        replaced = true;
+    }
+
+    @Override public boolean knows(String server) {
+        Host h = hosts.get(server);
+        return h != null && h.told != null;
+    }
+
+    @Override public int excluded(double time) {
+        return (int) hosts.values().stream()
+            .filter(h -> h.listed && (!h.up || h.detached || time < h.ejectedUntil)).count();
+    }
+
     @Override public void discoveryFailed(double time) {
         begin(time);
         if (set.mustAsk()) {
@@ -747,7 +798,7 @@
         if (h.fails < 3 && !h.trial && !(h.wasDead && weight >= 2) || now < h.ejectedUntil) {
             return;
         }
-        if (2 * hosts.values().stream().filter(o -> o.listed && now < o.ejectedUntil).count() + 2 <= up) {
+        if (2 * hosts.values().stream().filter(o -> o.up && now < o.ejectedUntil).count() + 2 <= up) {
             h.ejectedUntil = now + EJECT * Math.pow(2, h.ejections);
             h.ejections = Math.min(h.ejections + 1, EJECT_DOUBLINGS);
             h.trial = true;
@@ -819,7 +870,8 @@
 
     /** Drains, ejections, groups and cold budgets: may this request go to this server now? */
     private boolean mayGet(Req r, Host h) {
-        return h.listed && now >= h.ejectedUntil && inGroup(r, h) && (warmth(h) >= 1 || coldBudget(h) >= 1);
+        return h.up && !h.detached && now >= h.ejectedUntil && inGroup(r, h)
+            && (warmth(h) >= 1 || coldBudget(h) >= 1);
     }
 
     /**
@@ -879,8 +931,9 @@
         if (c.plan.ceilingRate() <= 0) {
             return true;
         }
+        double rate = replaced ? 0 : c.plan.ceilingRate() / c.spread; // the next process fills this part
         c.ceiling = Math.min(Math.floor(c.plan.ceilingBurst() / c.spread),
-            c.ceiling + (now - c.ceilingAt) / 1000 * c.plan.ceilingRate() / c.spread);
+            c.ceiling + (now - c.ceilingAt) / 1000 * rate);
         c.ceilingAt = now;
         return c.ceiling >= r.told.units();
     }
--- a/src/main/java/willowyoke/Gateway.java
+++ b/src/main/java/willowyoke/Gateway.java
@@ -1,6 +1,7 @@
 package willowyoke;
 
 import java.util.List;
+import java.util.Set;
 
 /**
  * What a host and the decision module say to each other. A host calls {@link Events}; the module answers by
@@ -84,6 +85,18 @@
         void probed(double now, String server, Outcome outcome, double took, double[] load);
 
         void counted(double now, long name, Outcome outcome, double took, double total);
+
+        /** The servers that are out by hand, all of them, listed or not. */
+        void detached(double now, Set<String> servers);
+
+        /** Another process takes over: it fills what this one shares with the other gateways. */
+        void replaced(double now);
+
+        /** Whether a list has ever named this server. */
+        boolean knows(String server);
+
+        /** How many of the listed servers get nothing now: by hand, draining, or held to be ill. */
+        int excluded(double now);
     }
 
     /** What an instance asks of its host. */
--- a/src/main/java/willowyoke/net/Config.java
+++ b/src/main/java/willowyoke/net/Config.java
@@ -5,6 +5,7 @@
 import java.io.File;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.StringJoiner;
@@ -13,11 +14,12 @@
 
 /**
  * What this edge node is told at its start. The times are milliseconds; counter, control and known are null
- * where the file has none; inherited: the listening socket stands open as descriptor 0.
+ * where the file has none; inherited: the listening socket stands open as descriptor 0; shared: the folder
+ * that the process which replaces this one finds too, or null.
  */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery,
-    InetSocketAddress counter, InetSocketAddress control, boolean inherited, long seed, int sockets,
-    JsonNode known, Gateway.Settings settings, double keepAlive, double connectTimeout) {
+    InetSocketAddress counter, InetSocketAddress control, boolean inherited, Path shared, long seed,
+    int sockets, JsonNode known, Gateway.Settings settings, double keepAlive, double connectTimeout) {
 
     static final ObjectMapper JSON = new ObjectMapper();
     /** Where the settings say nothing of connections. */
@@ -49,8 +51,11 @@
         return new Config(text(env, "EDGE_NAME", root, "name"),
             address(text(env, "EDGE_LISTEN", root, "listen")),
             address(text(env, "EDGE_DISCOVERY", root, "discovery")),
-            counter.isEmpty() ? null : address(counter), control.isEmpty() ? null : address(control),
-            inherited(env.getOrDefault("EDGE_SOCKET_FD", "")), seed(root.path("seed").asText("0")),
+            counter.isEmpty() ? null : address(counter),
+            control.isEmpty() ? null : address(control),
+            inherited(env.getOrDefault("EDGE_SOCKET_FD", "")),
+            env.containsKey("TMPDIR") ? Path.of(env.get("TMPDIR")) : null,
+            seed(root.path("seed").asText("0")),
             root.path("limits").path("sockets").asInt(SOCKETS),
             root.hasNonNull("known") ? root.get("known") : null, SettingsReader.read(keys),
             idle > 0 ? idle : KEEP_ALIVE, connect > 0 ? connect : CONNECT_TIMEOUT);
--- a/src/main/java/willowyoke/net/Node.java
+++ b/src/main/java/willowyoke/net/Node.java
@@ -42,6 +42,8 @@
     private static final double CLIENTS = 0.55;
     private static final double SERVERS = 0.3;
     private static final double CALLERS = 0.04;
+    /** Another process may take servers out (ms): a fifth of the time within which that must hold. */
+    private static final double LOOK = 200;
     /** What all held requests' values may take (bytes) before clients are read no further. */
     private static final long HELD = 8L << 20;
     /** A timer on which the module failed comes once more after this (ms). */
@@ -89,10 +91,13 @@
     private final ServerPool servers;
     private final CounterClient counter;
     private final Discovery discovery;
+    private final Figures figures = new Figures();
+    private final Detached detached;
     private final CompletableFuture<Void> ended = new CompletableFuture<>();
     private Gateway.Events module;
     private long lastId;
     private long held;
+    private int inFlight;
     private int logged;
     private SocketAddress address;
     private SocketAddress control;
@@ -105,6 +110,8 @@
         counter = new CounterClient(this, group, config.counter(), config.settings().allowed()
             .counterTimeout());
         discovery = new Discovery(this, group, config.discovery());
+        detached = new Detached(config.shared());
+        figures.classes(config.settings().classes());
     }
 
     // ---- life ----
@@ -122,6 +129,7 @@
                 ready.completeExceptionally(e);
                 return;
             }
+            lookForDetached();
             discovery.start(config.known());
             counter.start();
             servers.start();
@@ -162,10 +170,53 @@
     private String call(String line) {
         return switch (line) {
             case "PING" -> Control.YES;
-            default -> Control.NO + " unknown call";
+            case "INFO" -> figures.text(inFlight, servers.known(), module.excluded(now())) + "EOT";
+            default -> callOnServer(line);
         };
     }
 
+    private String callOnServer(String line) {
+        int space = line.indexOf(' ');
+        String verb = space < 0 ? line : line.substring(0, space);
+        if (!verb.equals("DETACH") && !verb.equals("ATTACH")) {
+            return Control.NO + " unknown call";
+        }
+        String server = line.substring(verb.length()).strip();
+        if (!module.knows(server) && !detached.servers().contains(server)) {
+            return Control.NO + " unknown flag server";
+        }
+        try {
+            if (verb.equals("DETACH")) {
+                detached.add(server);
+            } else {
+                detached.remove(server);
+            }
+        } catch (IOException e) {
+            log(verb, e);
+            return Control.NO + " not kept for the next process";
+        }
+        tellDetached();
+        return Control.YES;
+    }
+
+    /** What the process before this one has taken out, or the one beside it does by now. */
+    private void lookForDetached() {
+        after(LOOK, this::lookForDetached);
+        try {
+            if (detached.refresh()) {
+                tellDetached();
+            }
+        } catch (IOException e) {
+            log("servers out by hand", e);
+        }
+    }
+
+    /** The pool hears first, as of a server that drains. */
+    private void tellDetached() {
+        servers.detached(detached.servers());
+        tell(m -> m.detached(now(), detached.servers()));
+    }
+
     /** SIGTERM: answers all that is taken and then ends; returns when that is done. */
     public void drain() {
         group.execute(() -> {
@@ -185,6 +236,7 @@
 
     /** Another process takes the clients from here on: the socket stays open there, with who waits in it. */
     private void handOver() {
+        tell(m -> m.replaced(now()));
         clients.unbind();
         clients.closeBehindAnswers();
         after(STAY_OPEN, clients::close);
@@ -292,6 +344,7 @@
         Request r = new Request(++lastId, slot, retained(command), call, now + patience);
         slot.request = r;
         held += r.bytes;
+        inFlight++;
         requests.put(r.id, r);
         r.timer = after(patience + 1, () -> waited(r));
         if (!tell(m -> m.arrived(now, new Gateway.Request(r.id, call.type(), call.plan(), call.customer(),
@@ -319,7 +372,7 @@
     /** A request that the module has let lie or choked on fails; each request gets one answer. */
     private void giveUp(Request r) {
         if (!r.over) {
-            answer(r, new ErrorRedisMessage("ERR failed"));
+            failed(r);
             tell(m -> m.gone(now(), r.id));
         }
     }
@@ -338,8 +391,14 @@
         settle(r);
     }
 
+    private void failed(Request r) {
+        figures.failed(r.call.type());
+        answer(r, new ErrorRedisMessage("ERR failed"));
+    }
+
     private void over(Request r) {
         r.over = true;
+        inFlight--;
         r.slot.request = null;
         if (r.out == 0) {
             r.timer.cancel(false);
@@ -367,6 +426,7 @@
         double now = now();
         if (outcome == Gateway.Outcome.OK && !r.over) {
             over(r);
+            figures.served(r.call.type());
             r.slot.answer(ReferenceCountUtil.retain(value));
         }
         boolean told = tell(m -> m.ended(now, r.id, a.number, outcome, now - a.sent, r.over, 0, load));
@@ -376,6 +436,11 @@
         settle(r);
     }
 
+    /** An attempt has been written whole. */
+    void attempted() {
+        figures.attempt();
+    }
+
     void probed(String server, Gateway.Outcome outcome, double took, double[] load) {
         tell(m -> m.probed(now(), server, outcome, took, load));
     }
@@ -430,6 +495,7 @@
     @Override public void refuse(long id, double retryAfter) {
         Request r = requests.get(id);
         if (r != null && !r.over) {
+            figures.refused(r.call.type());
             answer(r, new ErrorRedisMessage(retryAfter > 0 ? "BUSY " + Math.round(retryAfter) : "BUSY"));
         }
     }
@@ -437,7 +503,7 @@
     @Override public void fail(long id) {
         Request r = requests.get(id);
         if (r != null && !r.over) {
-            answer(r, new ErrorRedisMessage("ERR failed"));
+            failed(r);
         }
     }
 
--- a/src/main/java/willowyoke/net/ServerPool.java
+++ b/src/main/java/willowyoke/net/ServerPool.java
@@ -66,6 +66,7 @@
         final Set<Link> links = new LinkedHashSet<>();
         final ArrayDeque<Attempt> waiting = new ArrayDeque<>();
         int connecting;
+        boolean listedUp;
         boolean up;
 
         Target(InetSocketAddress dial) {
@@ -79,6 +80,7 @@
     private final int most;
     private final Map<String, Target> targets = new HashMap<>();
     private final CompletableFuture<Void> ready = new CompletableFuture<>();
+    private Set<String> detached = Set.of();
     private int open;
 
     ServerPool(Node node, EventLoopGroup group, Config config, int most) {
@@ -119,16 +121,32 @@
                 t = new Target(m.dial());
                 targets.put(id, t);
             }
-            t.up = m.server().state() == Gateway.State.UP;
-            if (!t.up) {
-                leave(t);
-            } else if (t.links.isEmpty() && t.connecting == 0) {
-                connect(t); // so that the first request need not wait for one
-            }
+            t.listedUp = m.server().state() == Gateway.State.UP;
+            use(id, t);
         }
         isReady();
     }
 
+    /** The servers that are out by hand, all of them: for these the same holds as for those that drain. */
+    void detached(Set<String> servers) {
+        detached = Set.copyOf(servers);
+        targets.forEach(this::use);
+    }
+
+    private void use(String id, Target t) {
+        t.up = t.listedUp && !detached.contains(id);
+        if (!t.up) {
+            leave(t);
+        } else if (t.links.isEmpty() && t.connecting == 0) {
+            connect(t); // so that the first request need not wait for one
+        }
+    }
+
+    /** How many servers the list has. */
+    int known() {
+        return targets.size();
+    }
+
     /** Nothing new goes to a server that drains, is gone or has moved; what is out there may end. */
     private void leave(Target t) {
         if (t == null) {
@@ -295,6 +313,9 @@
                 if (current == a) {
                     written = f.isSuccess();
                 }
+                if (f.isSuccess() && a.request != null) {
+                    node.attempted();
+                }
             });
             node.flushLater(channel);
         }
--- a/src/test/java/willowyoke/RulesTest.java
+++ b/src/test/java/willowyoke/RulesTest.java
@@ -1,6 +1,7 @@
 package willowyoke;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -8,6 +9,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 class RulesTest {
@@ -21,6 +23,69 @@
         assertEquals(1, b.count("fail 1") + b.count("refuse 1"));
     }
 
+    /** Out by hand: nothing new and no further attempt, whatever the list says, until it is put back. */
+    @Test void aServerOutByHandGetsNothing() {
+        Bench b = Bench.plain().start();
+        b.module.detached(0, Set.of("s1", "s7")); // before a list names them, as after a handover
+        b.servers(2);
+        assertFalse(b.module.knows("s7"));
+        assertTrue(b.module.knows("s1"));
+        assertEquals(1, b.module.excluded(0));
+        for (int i = 1; i <= 6; i++) {
+            b.arrive(i, "read", "big", "c");
+            b.to(i * 50);
+            b.end(i, 0, i == 3 ? Gateway.Outcome.FULL : Gateway.Outcome.OK);
+        }
+        b.module.servers(b.now, List.of(Bench.server(1, Gateway.State.GONE, 0)), false);
+        assertEquals(0, b.module.excluded(b.now)); // no longer listed
+        b.module.servers(b.now, List.of(Bench.server(1, Gateway.State.UP, 0)), false);
+        b.to(1000);
+        for (int i = 11; i <= 16; i++) {
+            b.arrive(i, "read", "big", "c");
+            b.to(b.now + 50);
+            b.end(i, 0, Gateway.Outcome.OK);
+        }
+        assertTrue(b.count("send") >= 12, b.log.toString());
+        assertTrue(b.log.stream().noneMatch(line -> line.startsWith("send") && line.endsWith("s1")));
+    }
+
+    /** It gets requests again at once, but no more than a cold one: it may have been restarted unseen. */
+    @Test void aServerPutBackStartsColdWithACleanRecord() {
+        Bench b = Bench.plain().start().servers(2);
+        b.to(1000);
+        for (int i = 1; i <= 40; i++) {
+            b.arrive(i, "read", "big", "c");
+            b.to(b.now + 50);
+            b.end(i, 0, "s1".equals(b.sentTo(i)) ? Gateway.Outcome.NO_CONNECTION : Gateway.Outcome.OK);
+        }
+        b.module.detached(b.now, Set.of("s1"));
+        b.to(b.now + 3000);
+        b.module.detached(b.now, Set.of());
+        assertEquals(0, b.module.excluded(b.now));
+        long before = b.log.stream().filter(line -> line.endsWith(" s1")).count();
+        for (int i = 101; i <= 200; i++) {
+            b.arrive(i, "read", "big", "c");
+            b.end(i, 0, Gateway.Outcome.OK);
+            b.to(b.now + 20);
+        }
+        long got = b.log.stream().filter(line -> line.endsWith(" s1")).count() - before;
+        assertTrue(got > 0 && got < 25, "of 100, half were its part if it were warm: " + got);
+    }
+
+    /** The part of a ceiling is filled by the process that takes over, and by it alone. */
+    @Test void aReplacedProcessFillsNoCeiling() {
+        Bench b = Bench.plain().start().servers(2);
+        b.arrive(1, "read", "ceiling", "c");
+        b.to(1100); // 2 a second are its part
+        b.arrive(2, "read", "ceiling", "c");
+        b.module.replaced(b.now);
+        b.arrive(3, "read", "ceiling", "c");
+        b.to(2900);
+        b.arrive(4, "read", "ceiling", "c");
+        b.to(4900);
+        assertEquals(2, b.count("send"));
+    }
+
     @Test void heldRequestIsRefusedWithNoServer() {
         Bench b = Bench.plain().start();
         b.arrive(1, "once", "big", "c");
--- a/src/test/java/willowyoke/net/HandoverTest.java
+++ b/src/test/java/willowyoke/net/HandoverTest.java
@@ -69,6 +69,7 @@
             "-XX:TieredStopAtLevel=1", "-cp", classes, "willowyoke.Main", "serve");
         builder.environment().put("EDGE_CONFIG", file.toString());
         builder.environment().put("EDGE_SOCKET_FD", "0");
+        builder.environment().put("TMPDIR", folder.toString());
         holder = builder.redirectError(ProcessBuilder.Redirect.INHERIT).start();
         lines = new PrintStream(holder.getOutputStream(), true, StandardCharsets.UTF_8);
         told = new BufferedReader(new InputStreamReader(holder.getInputStream(), StandardCharsets.UTF_8));
--- a/src/test/java/willowyoke/net/NodeTest.java
+++ b/src/test/java/willowyoke/net/NodeTest.java
@@ -10,9 +10,12 @@
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -20,6 +23,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
 import willowyoke.Gateway;
 
 /** The real edge node between peers on loopback sockets, with a scripted module for the decisions. */
@@ -78,6 +82,22 @@
             told.add("gone " + id);
         }
 
+        @Override public void detached(double now, Set<String> servers) {
+            told.add("detached " + servers);
+        }
+
+        @Override public void replaced(double now) {
+            told.add("replaced");
+        }
+
+        @Override public boolean knows(String id) {
+            return id.equals("s0");
+        }
+
+        @Override public int excluded(double now) {
+            return 7;
+        }
+
         @Override public void timer(double now, long token) {
             if (failTimers-- > 0) {
                 throw new IllegalStateException("timer on purpose");
@@ -110,6 +130,9 @@
     private int keepAlive = 15_000;
     private int countLimit = 1000; // on a slow machine too, what is written at once is read by then
     private volatile int failTimers;
+    private Map<String, String> environment = Map.of();
+    @TempDir
+    private Path folder;
 
     private static String entry(String id, String dial, String health) {
         return "{\"host\":\"" + id + "\",\"dial\":\"" + dial
@@ -143,19 +166,26 @@
     }
 
     private void start() throws Exception {
+        start("whole s0 UP");
+        server = app.accept(); // the connection made ahead
+    }
+
+    private void start(String... first) throws Exception {
         String json = """
             {"name":"n0","listen":"127.0.0.1:0","discovery":"%s","seed":"8c1f30d27a5be964",
              "limits":{"sockets":%d},"counter":"%s","control":"127.0.0.1:0","known":%s,
              "settings":{"rank":0,"group_size":2,"feedback":{"fields":["utilization","outstanding"]},
               "family_info":{"shared_counter":true,"count_limit":%d},
               "limits":{"send_cap":2,"keepalive":%d,"connect_timeout":250,"probing":true},
-              "request_classes":[{"name":"read","effect":"read_like","aim":600,"hard_limit":2000}],
+              "request_classes":[{"name":"read","effect":"read_like","aim":600,"hard_limit":2000},
+               {"name":"refuse","effect":"read_like","aim":600,"hard_limit":2000}],
               "tariffs":[{"name":"p","per_second":8,"depth":8}]}}"""
             .formatted(discovery.address(), sockets, counter.address(),
                 list(41, true, entry("s0", app.address(), "active")), countLimit, keepAlive);
         Script script = new Script();
         config = json;
-        node = new Node(Config.of(Config.JSON.readTree(json), Map.of()), (settings, seed, now, actions) -> {
+        node = new Node(Config.of(Config.JSON.readTree(json), environment),
+            (settings, seed, now, actions) -> {
             script.act = actions;
             assertEquals(2, settings.nodes());
             assertEquals(List.of("utilization", "outstanding"), settings.loadFields());
@@ -171,8 +201,9 @@
         watching.start();
         node.start(4000);
         watching.join();
-        server = app.accept(); // the connection made ahead
-        expect("whole s0 UP");
+        for (String text : first) {
+            expect(text);
+        }
     }
 
     @AfterEach void end() throws Exception {
@@ -646,6 +677,84 @@
         assertEquals(List.of("FAILURE unknown call"), call("x".repeat(100_000)));
     }
 
+    /** The module hears of it, its connections end, and a request that goes there all the same does not. */
+    @Test void aServerIsTakenOutAndPutBackByHand() throws Exception {
+        environment = Map.of("TMPDIR", folder.toString());
+        start();
+        assertEquals(List.of("SUCCESS"), call("DETACH s0\n"));
+        expect("detached [s0]");
+        assertTrue(server.ended());
+        assertEquals(List.of("SUCCESS"), call("DETACH s0\n"));
+        expect("detached [s0]");
+        Peer.Line client = client();
+        get(client, "01", "read", 900);
+        arrived(1, "read");
+        expect("ended 1 0 NO_CONNECTION false");
+        push(list(42, false, entry("s0", app.address(), "active"))); // whatever discovery says
+        expect("changes s0 UP");
+        get(client, "02", "read", 900);
+        arrived(2, "read");
+        expect("ended 2 0 NO_CONNECTION false");
+        assertEquals(List.of("SUCCESS"), call("ATTACH s0\n"));
+        expect("detached []");
+        app.accept(); // made ahead anew
+        for (String none : new String[] {"DETACH s1", "ATTACH s1", "DETACH", "ATTACH ", "DETACH ../s0",
+            "DETACH s0 s0", "detach s0"}) {
+            assertTrue(call(none + "\n").get(0).startsWith("FAILURE "), none);
+        }
+        caller().write("DETACH s0"); // not a whole line
+        assertEquals(List.of("SUCCESS"), call("PING\n"));
+        assertTrue(told.isEmpty());
+    }
+
+    /** What the process before took out stays out, and what the one beside takes out goes out here too. */
+    @Test void processesShareWhatIsOutByHand() throws Exception {
+        environment = Map.of("TMPDIR", folder.toString());
+        Detached other = new Detached(folder);
+        other.add("s0");
+        start("detached [s0]", "whole s0 UP");
+        other.remove("s0");
+        expect("detached []");
+        other.add("s9"); // that this one has not heard of yet
+        expect("detached [s9]");
+        assertEquals(List.of("SUCCESS"), call("ATTACH s9\n"));
+        expect("detached []");
+        assertTrue(other.refresh());
+        assertEquals(Set.of(), other.servers());
+    }
+
+    @Test void withoutAFolderToKeepItInNothingIsTakenOut() throws Exception {
+        Path file = folder.resolve("file");
+        Files.createFile(file);
+        environment = Map.of("TMPDIR", file.toString());
+        start();
+        assertEquals(List.of("FAILURE not kept for the next process"), call("DETACH s0\n"));
+        assertTrue(told.isEmpty());
+    }
+
+    @Test void theFiguresTellWhatWasAnswered() throws Exception {
+        start();
+        Peer.Line client = client();
+        for (String type : new String[] {"read", "refuse", "fail", "made\"up", "read"}) {
+            get(client, "01", type, 900);
+            if (!type.equals("refuse") && !type.equals("fail")) {
+                server.message();
+                server.value("v");
+            }
+            client.message();
+        }
+        get(client, "02", "hold", 2500);
+        while (!told.contains("arrived 6 hold p " + CUSTOMER + " 2 3 1 false")) {
+            Thread.sleep(5);
+        }
+        assertEquals(List.of("node_served_total{class=\"read\"} 2", "node_refused_total{class=\"read\"} 0",
+            "node_failed_total{class=\"read\"} 0", "node_served_total{class=\"refuse\"} 0",
+            "node_refused_total{class=\"refuse\"} 1", "node_failed_total{class=\"refuse\"} 0",
+            "node_attempts_total 3", "node_in_flight 1", "node_flag_servers_known 1",
+            "node_flag_servers_excluded 7", "node_reloads_ok_total 0", "node_reloads_failed_total 0", "EOT"),
+            call("INFO\n"));
+    }
+
     /** A peer that sends nothing, or not the whole of a command, is owed a close 3 s after it came. */
     @Test void aPeerWithoutACommandIsClosed() throws Exception {
         start();
