Take new settings at SIGHUP, whole or not at all

A file now must hold all that the file in force holds; the module gets the settings as an event, open requests keep their rules.

Ruled out: late lists, as the drains break only behind the signal at 16.3 s, which brings the file without settings.

--- a/src/main/java/willowyoke/Decide.java
+++ b/src/main/java/willowyoke/Decide.java
@@ -35,12 +35,14 @@
     private static final int MISSES = 8;
     /** Open counts get a new name this often (ms): what a killed node held is forgotten by then. */
     private static final double OPEN_EPOCH = 16 * SUBPERIOD;
+    /** Clients turn away from a dropped class later than it is dropped here (ms). */
+    private static final double DROPPED = 5000;
     /** A retry that finds no server looks again after this (ms): a few of the shortest ticks. */
     private static final double LOOK_AGAIN = 25;
 
     // ---- state ----
 
-    private final Gateway.Settings set;
+    private Gateway.Settings set;
     private final Gateway.Actions act;
     private final Random random;
     private double now;
@@ -67,7 +69,7 @@
     /** A class with the mean time that its answers take. */
     private static final class Type {
         final Gateway.RequestClass told;
-        double mean;
+        double mean, until = Double.MAX_VALUE;
 
         Type(Gateway.RequestClass told) {
             this.told = told;
@@ -78,7 +80,7 @@
     private static final class Customer {
         final String name;
         final long key;
-        final Gateway.Plan plan;
+        Gateway.Plan plan;
         final int spread;
         final TreeSet<Req> queue =
             new TreeSet<>(Comparator.<Req>comparingDouble(r -> r.useful).thenComparingLong(r -> r.serial));
@@ -108,15 +110,17 @@
         final Customer customer;
         final double deadline, useful;
         final long serial;
+        final int most;
         final List<Attempt> attempts = new ArrayList<>();
         boolean over, streaming;
         int out;
 
-        Req(Gateway.Request told, Type type, Customer customer, double now, long serial) {
+        Req(Gateway.Request told, Type type, Customer customer, int most, double now, long serial) {
             this.told = told;
             this.type = type;
             this.customer = customer;
             this.serial = serial;
+            this.most = most;
             deadline = now + told.patience();
             useful = Math.min(now + type.told.aim(), deadline);
         }
@@ -150,7 +154,7 @@
         double lastSent, fails, ejectedUntil, ejections;
         boolean trial, wasDead;
         double coldFrom = Double.NEGATIVE_INFINITY, coldCredit, coldAt;
-        final Map<Type, double[]> failing = new HashMap<>(); // share that fails, when
+        final Map<String, double[]> failing = new HashMap<>(); // by class: share that fails, when
 
         Host(String id) {
             this.id = id;
@@ -166,28 +170,44 @@
     private record Timer(double at, long serial, Kind kind, Req req) { }
 
     Decide(Gateway.Settings settings, long seed, double now, Gateway.Actions actions) {
-        set = settings;
         act = actions;
         random = new Random(seed);
         this.now = now;
+        take(settings);
+        callLimit = Math.max(1, CALLS / settings.nodes());
+        callsLeft = 4 * callLimit;
+        at(Kind.EDGE, nextEdge(), null);
+        if (settings.mustAsk()) {
+            act.subscribe();
+        }
+    }
+
+    private void take(Gateway.Settings settings) {
+        set = settings;
+        types.values().forEach(t -> t.until = Math.min(t.until, now + DROPPED));
+        longestAim = meanAim = 0;
         for (Gateway.RequestClass c : settings.classes()) {
-            types.put(c.name(), new Type(c));
+            Type known = types.get(c.name());
+            Type type = new Type(c);
+            type.mean = known == null ? type.mean : known.mean;
+            types.put(c.name(), type);
             longestAim = Math.max(longestAim, c.aim());
             meanAim += c.aim() / settings.classes().size();
         }
         for (Gateway.Plan p : settings.plans()) {
             plans.put(p.name(), p);
         }
-        callLimit = Math.max(1, CALLS / settings.nodes());
-        callsLeft = 4 * callLimit;
-        at(Kind.EDGE, nextEdge(), null);
-        if (settings.mustAsk()) {
-            act.subscribe();
-        }
+        customers.values().forEach(c -> c.plan = plans.get(c.plan.name()));
     }
 
     // ---- events ----
 
+    @Override public void settings(double time, Gateway.Settings settings) {
+        begin(time);
+        take(settings);
+        pump();
+    }
+
     @Override public void servers(double time, List<Gateway.Server> list, boolean whole) {
         begin(time);
         if (whole) {
@@ -279,7 +299,7 @@
         begin(time);
         Type type = types.get(told.type());
         Gateway.Plan plan = plans.get(told.plan());
-        if (type == null || plan == null) {
+        if (type == null || plan == null || now > type.until) {
             act.refuse(told.id(), 0); // nothing is told of such a class or plan: no quota can be kept for it
             return;
         }
@@ -293,7 +313,7 @@
         c.seen = now;
         c.arrived += told.units();
         askedInPeriod++;
-        Req r = new Req(told, type, c, now, serial++);
+        Req r = new Req(told, type, c, set.allowed().attempts(), now, serial++);
         requests.put(told.id(), r);
         if (told.again() && now < c.shortUntil) {
             answer(r); // its first try waited here until it was of no use: a fresh request earns more
@@ -717,7 +737,7 @@
 
     /** How likely this server fails this class, or cannot be reached; forgotten in time. */
     private double failing(Host h, Type type) {
-        double[] seen = h.failing.get(type);
+        double[] seen = h.failing.get(type.told.name());
         return seen == null ? 0 : seen[0] * Math.pow(0.5, (now - seen[1]) / (4 * FORGET));
     }
 
@@ -752,7 +772,7 @@
     private void learn(Host h, Type type, Gateway.Outcome outcome, double took) {
         boolean ok = outcome == Gateway.Outcome.OK;
         if (outcome != Gateway.Outcome.CANCELLED && outcome != Gateway.Outcome.NOT_SENT) {
-            h.failing.put(type, new double[] {(failing(h, type) + (ok ? 0 : 1)) / 2, now});
+            h.failing.put(type.told.name(), new double[] {(failing(h, type) + (ok ? 0 : 1)) / 2, now});
         }
         switch (outcome) {
             case OK -> {
@@ -824,7 +844,7 @@
     /** Every attempt has ended without an answer: try elsewhere where it is allowed and of use, or answer. */
     private void again(Req r) {
         if (now >= r.useful || now >= r.deadline - 2 * set.tick() || !mayRepeat(r)
-            || r.attempts.size() >= set.allowed().attempts()) {
+            || r.attempts.size() >= r.most) {
             answer(r);
             return;
         }
--- a/src/main/java/willowyoke/Gateway.java
+++ b/src/main/java/willowyoke/Gateway.java
@@ -89,6 +89,9 @@
         /** The servers that are out by hand, all of them, listed or not. */
         void detached(double now, Set<String> servers);
 
+        /** New settings, for what comes from here on: requests that are open keep the rules they have. */
+        void settings(double now, Settings settings);
+
         /** Another process takes over: it fills what this one shares with the other gateways. */
         void replaced(double now);
 
--- a/src/main/java/willowyoke/Main.java
+++ b/src/main/java/willowyoke/Main.java
@@ -52,7 +52,8 @@
             return;
         }
         Node node = new Node(config, Decide::new);
-        Hangup.handle(() -> reload(node)); // before the start: the JVM's own way is to end
+        // before the start: the JVM's own way is to end
+        Hangup.handle(() -> node.reload(() -> Config.file(System.getenv())));
         Warmup.run(config, Decide::new, RUN_UNTIL - age());
         try {
             node.start(Math.max(READY_LEAST, READY_BY - age()));
@@ -69,13 +70,4 @@
         return ProcessHandle.current().info().startInstant()
             .map(at -> Duration.between(at, Instant.now()).toMillis()).orElse(0L);
     }
-
-    /** Takes in the configuration that was replaced; one that cannot be read changes nothing. */
-    private static void reload(Node node) {
-        try {
-            node.move(Config.again(System.getenv()));
-        } catch (IOException | IllegalArgumentException | SettingsReader.Bad bad) {
-            System.err.println("configuration, kept as it was: " + bad.getMessage());
-        }
-    }
 }
--- a/src/main/java/willowyoke/net/Config.java
+++ b/src/main/java/willowyoke/net/Config.java
@@ -1,13 +1,18 @@
 package willowyoke.net;
 
+import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.File;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.StringJoiner;
 import willowyoke.Gateway;
 import willowyoke.SettingsReader;
@@ -15,13 +20,17 @@
 /**
  * What this edge node is told at its start. The times are milliseconds; counter, control and known are null
  * where the file has none; inherited: the listening socket stands open as descriptor 0; shared: the folder
- * that the process which replaces this one finds too, or null.
+ * that the process which replaces this one finds too, or null; root: the file as it was read.
  */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery,
     InetSocketAddress counter, InetSocketAddress control, boolean inherited, Path shared, long seed,
-    int sockets, JsonNode known, Gateway.Settings settings, double keepAlive, double connectTimeout) {
+    int sockets, JsonNode known, Gateway.Settings settings, double keepAlive, double connectTimeout,
+    JsonNode root) {
 
-    static final ObjectMapper JSON = new ObjectMapper();
+    static final ObjectMapper JSON =
+        new ObjectMapper().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
+    /** What a later file may leave out. */
+    private static final Set<String> ONCE = Set.of("known", "seed");
     /** Where the settings say nothing of connections. */
     private static final double KEEP_ALIVE = 15_000;
     private static final double CONNECT_TIMEOUT = 250;
@@ -29,16 +38,58 @@
 
     /** Reads the file that EDGE_CONFIG names; the other variables win over it. */
     public static Config fromEnvironment(Map<String, String> env) throws IOException {
+        return of(file(env), env);
+    }
+
+    /** The file that EDGE_CONFIG names, as it is now. */
+    public static JsonNode file(Map<String, String> env) throws IOException {
         String file = env.get("EDGE_CONFIG");
         if (file == null || file.isEmpty()) {
             throw new IllegalArgumentException("EDGE_CONFIG is not set");
         }
-        return of(JSON.readTree(new File(file)), env);
+        return JSON.readTree(new File(file));
+    }
+
+    /**
+     * What is in force once the file was replaced: the addresses in it are newer than the variables. Throws
+     * where the file is not whole: nothing of such a one may be taken.
+     */
+    Config again(JsonNode changed) {
+        sameKeys("", root, changed);
+        positive(changed.path("settings").path("limits"), "send_cap");
+        changed.path("settings").path("request_classes").forEach(c -> positive(c, "hard_limit"));
+        return of(changed, Map.of());
+    }
+
+    /** All that the file in force holds must be in the new one, with the same kind of value. */
+    private static void sameKeys(String at, JsonNode old, JsonNode changed) {
+        if (old.getNodeType() != changed.getNodeType()) {
+            throw new IllegalArgumentException("'" + at + "' is missing or no " + old.getNodeType());
+        }
+        if (old.isObject()) {
+            String in = at.isEmpty() ? "" : at + ".";
+            old.properties().stream().filter(e -> !ONCE.contains(in + e.getKey()))
+                .forEach(e -> sameKeys(in + e.getKey(), e.getValue(), changed.path(e.getKey())));
+        } else if (old.isArray() && old.path(0).isObject()) {
+            if (changed.isEmpty()) {
+                throw new IllegalArgumentException("'" + at + "' is empty");
+            }
+            ObjectNode common = old.get(0).deepCopy();
+            old.forEach(each -> common.retain(names(each)));
+            changed.forEach(each -> sameKeys(at + "[]", common, each));
+        }
     }
 
-    /** Reads that file again: the addresses in it are newer than the variables. */
-    public static Config again(Map<String, String> env) throws IOException {
-        return of(JSON.readTree(new File(env.get("EDGE_CONFIG"))), Map.of());
+    private static List<String> names(JsonNode object) {
+        List<String> names = new ArrayList<>();
+        object.fieldNames().forEachRemaining(names::add);
+        return names;
+    }
+
+    private static void positive(JsonNode object, String key) {
+        if (!(object.path(key).asDouble() > 0)) {
+            throw new IllegalArgumentException("'" + key + "' is not a positive number");
+        }
     }
 
     static Config of(JsonNode root, Map<String, String> env) {
@@ -58,7 +109,8 @@
             seed(root.path("seed").asText("0")),
             root.path("limits").path("sockets").asInt(SOCKETS),
             root.hasNonNull("known") ? root.get("known") : null, SettingsReader.read(keys),
-            idle > 0 ? idle : KEEP_ALIVE, connect > 0 ? connect : CONNECT_TIMEOUT);
+            idle > 0 ? idle : KEEP_ALIVE, connect > 0 ? connect : CONNECT_TIMEOUT,
+            root);
     }
 
     private static boolean inherited(String descriptor) {
--- a/src/main/java/willowyoke/net/Node.java
+++ b/src/main/java/willowyoke/net/Node.java
@@ -1,5 +1,7 @@
 package willowyoke.net;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.MissingNode;
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoopGroup;
 import io.netty.handler.codec.redis.ArrayRedisMessage;
@@ -20,6 +22,7 @@
 import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
 import willowyoke.Gateway;
+import willowyoke.SettingsReader;
 
 /**
  * One real edge node: clock, timers and the table of requests, between the sockets and the decision module.
@@ -53,6 +56,11 @@
     /** Longest wait (ms) that a client may name: past that its request is malformed. */
     private static final double LONGEST = 3_600_000;
 
+    /** Reads the configuration anew. */
+    public interface Reader {
+        JsonNode read() throws IOException;
+    }
+
     /** A request of a client, from its last byte to the end of its last attempt. */
     static final class Request {
         final long id;
@@ -61,13 +69,16 @@
         final Call call;
         final double deadline;
         final int bytes;
+        final int most;
         final List<ServerPool.Attempt> attempts = new ArrayList<>(1);
         boolean over;
         int out;
         Future<?> timer;
 
-        Request(long id, ClientListener.Slot slot, ArrayRedisMessage command, Call call, double deadline) {
+        Request(long id, ClientListener.Slot slot, ArrayRedisMessage command, Call call, double deadline,
+            int most) {
             this.id = id;
+            this.most = most;
             this.slot = slot;
             this.command = command;
             this.call = call;
@@ -81,6 +92,7 @@
     }
 
     private final Config config;
+    private Config taken;
     private final Maker maker;
     private final EventLoopGroup group = Transport.loop();
     private final long startedNanos = System.nanoTime();
@@ -104,6 +116,7 @@
 
     public Node(Config config, Maker maker) {
         this.config = config;
+        taken = config;
         this.maker = maker;
         clients = new ClientListener(this, (int) (config.sockets() * CLIENTS));
         servers = new ServerPool(this, group, config, (int) (config.sockets() * SERVERS));
@@ -243,14 +256,38 @@
         after(LISTEN_ON, this::whenIdle);
     }
 
-    /** SIGHUP: discovery and the counter have moved; all else stays as it was at the start. */
-    public void move(Config changed) {
+    /**
+     * SIGHUP: takes what may differ in a configuration, which are the settings and the addresses of discovery
+     * and the counter; or nothing, where it is not whole. It is read at once, as another may soon replace it.
+     */
+    public void reload(Reader file) {
+        JsonNode read;
+        try {
+            read = file.read();
+        } catch (IOException e) {
+            log("configuration", e);
+            read = MissingNode.getInstance();
+        }
+        JsonNode changed = read;
         group.execute(() -> guarded(() -> {
-            discovery.move(changed.discovery());
-            counter.move(changed.counter());
+            try {
+                take(taken.again(changed));
+            } catch (IllegalArgumentException | SettingsReader.Bad bad) {
+                figures.reload(false);
+                System.err.println("configuration, kept as it was: " + bad.getMessage());
+            }
         }));
     }
 
+    private void take(Config changed) {
+        taken = changed;
+        discovery.move(changed.discovery());
+        counter.move(changed.counter());
+        figures.classes(changed.settings().classes());
+        figures.reload(true);
+        tell(m -> m.settings(now(), changed.settings()));
+    }
+
     private void whenIdle() {
         if (clients.idle()) {
             ended.complete(null);
@@ -341,7 +378,8 @@
             return "d is out of range";
         }
         double patience = Math.max(1, call.patience() - WAY_BACK);
-        Request r = new Request(++lastId, slot, retained(command), call, now + patience);
+        Request r = new Request(++lastId, slot, retained(command), call, now + patience,
+            taken.settings().allowed().attempts());
         slot.request = r;
         held += r.bytes;
         inFlight++;
@@ -473,7 +511,7 @@
         ServerPool.Attempt a = new ServerPool.Attempt(r, r.attempts.size(), server, now());
         r.attempts.add(a);
         r.out++;
-        if (r.over || a.sent >= r.deadline || a.number >= config.settings().allowed().attempts()) {
+        if (r.over || a.sent >= r.deadline || a.number >= r.most) {
             a.done = true;
             later(() -> attemptEnded(a, Gateway.Outcome.NOT_SENT, null, ServerPool.NO_LOAD));
             return;
--- a/src/test/java/willowyoke/Bench.java
+++ b/src/test/java/willowyoke/Bench.java
@@ -35,6 +35,7 @@
         new Gateway.Plan("big", 1000, 1000, 0, 1, 0, 1, 0, 0, 0),
         new Gateway.Plan("ceiling", 100, 100, 0, 1, 0, 1, 4, 8, 0));
     boolean copies = true;
+    int attempts = 5;
     boolean counter = true;
     boolean settled;
     boolean ask;
@@ -54,7 +55,7 @@
 
     Gateway.Settings settings() {
         return new Gateway.Settings(me, nodes, "a", 2, ask, settled, mostUnits, List.of(), classes, plans,
-            new Gateway.Allowed(true, true, copies, true, false, counter, 5, 2000, 50),
+            new Gateway.Allowed(true, true, copies, true, false, counter, attempts, 2000, 50),
             new Gateway.Rules(16, 250, 0.2, 15000, 2, 2000), new Gateway.Prices(0.05, 0.01, 0.02, 0, 0.03));
     }
 
--- a/src/test/java/willowyoke/RulesTest.java
+++ b/src/test/java/willowyoke/RulesTest.java
@@ -72,6 +72,35 @@
         assertTrue(got > 0 && got < 25, "of 100, half were its part if it were warm: " + got);
     }
 
+    /** A request keeps its rules and attempts; a dropped class is served until clients have turned. */
+    @Test void openRequestsKeepTheSettingsTheyCameUnder() {
+        Bench b = Bench.plain().start().servers(4);
+        b.arrive(1, "once", "big", "c");
+        b.arrive(2, "all", "big", "c");
+        Gateway.Settings s = b.settings();
+        b.classes = List.of(new Gateway.RequestClass("all", Gateway.Effect.UNSAFE, Gateway.Group.CELL,
+            600, 2000, 1, 0, 0, false), new Gateway.RequestClass("new", Gateway.Effect.SAFE,
+            Gateway.Group.CELL, 600, 2000, 1, 0, 0, false));
+        b.attempts = 1;
+        b.module.settings(b.now, b.settings());
+        b.end(2, 0, Gateway.Outcome.ERROR);
+        assertEquals(2, b.count("send 2"), "keyed as it came, with five attempts");
+        b.arrive(3, "all", "big", "c");
+        b.end(3, 0, Gateway.Outcome.ERROR);
+        assertEquals(1, b.count("fail 3"), "may have run, and is not to be repeated now");
+        b.arrive(4, "new", "big", "c");
+        b.end(4, 0, Gateway.Outcome.ERROR);
+        assertEquals(1, b.count("send 4"), "one attempt");
+        b.arrive(5, "once", "big", "c");
+        assertEquals(1, b.count("send 5"));
+        b.to(6000);
+        b.arrive(6, "once", "big", "c");
+        assertEquals(1, b.count("refuse 6"));
+        b.module.settings(b.now, s);
+        b.arrive(7, "once", "big", "c");
+        assertEquals(1, b.count("send 7"));
+    }
+
     /** The part of a ceiling is filled by the process that takes over, and by it alone. */
     @Test void aReplacedProcessFillsNoCeiling() {
         Bench b = Bench.plain().start().servers(2);
--- a/src/test/java/willowyoke/net/NodeTest.java
+++ b/src/test/java/willowyoke/net/NodeTest.java
@@ -1,6 +1,7 @@
 package willowyoke.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -59,6 +60,11 @@
                     act.count(77, 1, 4000);
                 }
                 case "other" -> act.count(78, 1, 4000);
+                case "again" -> again = r.id();
+                case "twice" -> {
+                    act.send(r.id(), "s0", 0);
+                    act.send(r.id(), "s0", 0);
+                }
                 case "probe" -> act.probe("s0");
                 case "cancel" -> {
                     act.send(r.id(), "s0", 0);
@@ -86,6 +92,14 @@
             told.add("detached " + servers);
         }
 
+        @Override public void settings(double now, Gateway.Settings settings) {
+            StringBuilder text = new StringBuilder("settings ").append(settings.allowed().attempts());
+            settings.classes().forEach(c -> text.append(' ').append(c.name()).append(' ').append(c.effect()));
+            told.add(text.toString());
+            act.send(again, "s0", 0);
+            act.send(again, "s0", 0);
+        }
+
         @Override public void replaced(double now) {
             told.add("replaced");
         }
@@ -130,6 +144,7 @@
     private int keepAlive = 15_000;
     private int countLimit = 1000; // on a slow machine too, what is written at once is read by then
     private volatile int failTimers;
+    private long again;
     private Map<String, String> environment = Map.of();
     @TempDir
     private Path folder;
@@ -636,7 +651,7 @@
         try (Peer newDiscovery = new Peer(); Peer newCounter = new Peer()) {
             String moved = config.replace(discovery.address(), newDiscovery.address())
                 .replace(counter.address(), newCounter.address());
-            node.move(Config.of(Config.JSON.readTree(moved), Map.of()));
+            reload(moved);
             Peer.Line next = newDiscovery.accept();
             assertEquals("GET /catalog/members?follow=1&since=41 HTTP/1.1", next.line());
             assertTrue(watch.ended());
@@ -755,6 +770,56 @@
             call("INFO\n"));
     }
 
+    private void reload(String file) {
+        node.reload(() -> Config.JSON.readTree(file));
+    }
+
+    /** Classes come and go; a request keeps the number of attempts that it came under. */
+    @Test void newSettingsAreTaken() throws Exception {
+        start();
+        Peer.Line client = client();
+        get(client, "01", "again", 2500);
+        arrived(1, "again");
+        reload(config.replace("\"send_cap\":2", "\"send_cap\":1").replace("\"name\":\"refuse\",", """
+            "name":"write","repeat_window":400,"group":"all",""").replaceFirst("read_like\",\"aim\":600,"
+            + "\"hard_limit\":2000}]", "idempotency_key\",\"aim\":600,\"hard_limit\":2000}]"));
+        expect("settings 1 read SAFE write KEYED");
+        assertEquals("01", server.message().get(2));
+        assertEquals("01", app.accept().message().get(2)); // two attempts, as when it came
+        get(client(), "02", "twice", 900);
+        arrived(2, "twice");
+        expect("ended 2 1 NOT_SENT false");
+        List<String> figures = call("INFO\n");
+        assertTrue(figures.contains("node_served_total{class=\"write\"} 0"), figures.toString());
+        assertTrue(figures.contains("node_reloads_ok_total 1"), figures.toString());
+    }
+
+    /** An address that differs is not taken either where the rest of the file is broken. */
+    @Test void ofABrokenFileNothingIsTaken() throws Exception {
+        start();
+        String moved = config.replace(counter.address(), "127.0.0.1:9");
+        String[] broken = {"", "{}", "null", "[]", moved.substring(0, moved.length() / 2), moved + "}",
+            moved.replace("\"hard_limit\":2000}]", "\"hard_limit\":\"soon\"}]"),
+            moved.replace("\"hard_limit\":2000}]", "\"hard_limit\":0}]"),
+            moved.replace("\"hard_limit\":2000}]", "\"hard_limit\":-1}]"),
+            moved.replace(",\"hard_limit\":2000}]", "}]"), moved.replace("\"name\":\"refuse\",", ""),
+            moved.replace("\"send_cap\":2", "\"send_cap\":0"), moved.replace("\"send_cap\":2,", ""),
+            moved.replace("\"send_cap\":2", "\"send_cap\":\"2\""),
+            moved.replace("\"discovery\":", "\"x\":"), moved.replace("\"settings\":", "\"x\":"),
+            moved.replace("\"tariffs\":", "\"x\":"), moved.replace("read_like", "whatever"),
+            moved.replace("\"rank\":0", "\"rank\":null"), moved.replace("127.0.0.1:9", "nowhere")};
+        for (String file : broken) {
+            assertNotEquals(config, file);
+            reload(file);
+        }
+        List<String> figures = call("INFO\n");
+        assertTrue(figures.contains("node_reloads_failed_total " + broken.length), figures.toString());
+        assertTrue(figures.contains("node_reloads_ok_total 0"), figures.toString());
+        assertTrue(told.isEmpty(), told.toString());
+        reload(config); // and the next whole one is
+        expect("settings 2 read SAFE refuse SAFE");
+    }
+
     /** A peer that sends nothing, or not the whole of a command, is owed a close 3 s after it came. */
     @Test void aPeerWithoutACommandIsClosed() throws Exception {
         start();
