Pass on values of more than 64 KiB as they come, bounded by what the client reads

It now goes to the client in pieces; the module hears of its first bytes and counts the server's time up to them only.

--- a/src/main/java/willowyoke/Decide.java
+++ b/src/main/java/willowyoke/Decide.java
@@ -131,6 +131,7 @@
         final Host host;
         final double sent;
         Gateway.Outcome outcome;
+        boolean begun;
 
         Attempt(Req req, Host host, double sent) {
             this.req = req;
@@ -335,8 +336,16 @@
     @Override public void firstAnswer(double time, long id, int attempt) {
         begin(time);
         Req r = requests.get(id);
-        if (r != null) {
-            r.streaming = true;
+        if (r == null || attempt < 0 || attempt >= r.attempts.size()) {
+            return;
+        }
+        Attempt a = r.attempts.get(attempt);
+        r.streaming = true;
+        if (a.outcome == null && !a.begun) { // the rest takes as long as the client needs to read
+            a.begun = true;
+            a.host.out.remove(a);
+            learn(a.host, r.type, Gateway.Outcome.OK, now - a.sent);
+            pump();
         }
     }
 
@@ -352,8 +361,10 @@
         a.outcome = outcome;
         r.out--;
         r.customer.out--;
-        a.host.out.remove(a);
-        learn(a.host, r.type, outcome, took);
+        if (!a.begun) {
+            a.host.out.remove(a);
+            learn(a.host, r.type, outcome, took);
+        }
         if (outcome == Gateway.Outcome.OK && trueUnits > 0 && set.settled()) {
             r.customer.uncounted += trueUnits - r.told.units();
         }
@@ -984,7 +995,7 @@
                 }
                 case LATE -> {
                     double sent = r.attempts.get(r.attempts.size() - 1).sent;
-                    if (r.out > 0 && sent <= now - r.type.told.aim() / 2) {
+                    if (r.out > 0 && !r.streaming && sent <= now - r.type.told.aim() / 2) {
                         pace(true);
                     }
                 }
--- a/src/main/java/willowyoke/net/ClientListener.java
+++ b/src/main/java/willowyoke/net/ClientListener.java
@@ -9,10 +9,14 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.ServerSocketChannel;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.redis.ArrayRedisMessage;
+import io.netty.handler.codec.redis.BulkStringHeaderRedisMessage;
+import io.netty.handler.codec.redis.BulkStringRedisContent;
 import io.netty.handler.codec.redis.ErrorRedisMessage;
+import io.netty.handler.codec.redis.LastBulkStringRedisContent;
 import io.netty.handler.codec.redis.RedisMessage;
 import io.netty.handler.codec.redis.SimpleStringRedisMessage;
 import io.netty.util.ReferenceCountUtil;
@@ -30,6 +34,9 @@
     /** A client that does not close its side after ours has ended is cut off after this (ms). */
     private static final int LINGER = 200;
     private static final int MOST_WORDS = 16;
+    /** What a client has not yet read of a long answer (bytes): here, and below us. */
+    private static final WriteBufferWaterMark UNWRITTEN = new WriteBufferWaterMark(16 * 1024, 32 * 1024);
+    private static final int SEND_BUFFER = 128 * 1024;
     /** A peer is owed an error or a close 3 s after it came (ms): by then its first command must be whole. */
     private static final double FIRST_COMMAND = 2300;
 
@@ -54,6 +61,8 @@
                     listener = channel; // on the loop: a client may come before bind has returned
                 }
             })
+            .childOption(ChannelOption.SO_SNDBUF, SEND_BUFFER)
+            .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, UNWRITTEN)
             .childHandler(new ChannelInitializer<SocketChannel>() {
                 @Override protected void initChannel(SocketChannel channel) {
                     Connection c = new Connection(channel);
@@ -114,10 +123,17 @@
         }
     }
 
+    /** Where the pieces of a long answer come from: it is read no further while the client is behind. */
+    interface Source {
+        void read(boolean on);
+    }
+
     /** The place of one command's answer on its connection. */
     static final class Slot {
         private final Connection connection;
+        private final ArrayDeque<RedisMessage> pieces = new ArrayDeque<>(0);
         private RedisMessage answer;
+        private Source source;
         Node.Request request;
 
         private Slot(Connection connection) {
@@ -130,8 +146,21 @@
             connection.drain();
         }
 
-        io.netty.buffer.ByteBufAllocator alloc() {
-            return connection.channel.alloc();
+        /** Begins an answer that goes out in pieces, as they come. */
+        void begin(BulkStringHeaderRedisMessage header, Source from) {
+            source = from;
+            pieces.add(header);
+            connection.pass(this);
+        }
+
+        void piece(BulkStringRedisContent piece) {
+            pieces.add(piece);
+            connection.pass(this);
+        }
+
+        /** The rest of the answer will not come. */
+        void breakOff() {
+            connection.channel.close();
         }
     }
 
@@ -194,10 +223,22 @@
             }
         }
 
+        /** Writes what there is of a long answer, where it is its turn. */
+        private void pass(Slot slot) {
+            if (slot == slots.peek()) {
+                drain();
+            } else {
+                slot.source.read(false);
+            }
+        }
+
         private void drain() {
-            while (!slots.isEmpty() && slots.peek().answer != null) {
-                channel.write(slots.poll().answer, channel.voidPromise());
-                node.flushLater(channel);
+            while (!slots.isEmpty() && (slots.peek().answer != null || passedOn(slots.peek()))) {
+                RedisMessage answer = slots.poll().answer;
+                if (answer != null) {
+                    channel.write(answer, channel.voidPromise());
+                    node.flushLater(channel);
+                }
             }
             if (slots.isEmpty() && (closing || deaf)) {
                 finish();
@@ -207,6 +248,20 @@
             }
         }
 
+        /** Writes the pieces of a long answer that have come; true with its end. */
+        private boolean passedOn(Slot slot) {
+            boolean end = false;
+            while (!slot.pieces.isEmpty()) {
+                end = slot.pieces.peek() instanceof LastBulkStringRedisContent;
+                channel.write(slot.pieces.poll(), channel.voidPromise());
+                node.flushLater(channel);
+            }
+            if (slot.source != null) {
+                slot.source.read(end || channel.isWritable());
+            }
+            return end;
+        }
+
         /** Ends our side after what is written, then waits for the client's: a reset could eat an answer. */
         private void finish() {
             if (!finished) {
@@ -226,6 +281,10 @@
         }
 
         @Override public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+            Slot first = slots.peek();
+            if (first != null && first.source != null) {
+                first.source.read(channel.isWritable());
+            }
             hold();
         }
 
@@ -234,6 +293,7 @@
             while (!slots.isEmpty()) {
                 Slot slot = slots.poll();
                 ReferenceCountUtil.release(slot.answer);
+                slot.pieces.forEach(ReferenceCountUtil::release);
                 if (slot.request != null) {
                     node.gone(slot.request);
                 }
--- a/src/main/java/willowyoke/net/Node.java
+++ b/src/main/java/willowyoke/net/Node.java
@@ -5,8 +5,11 @@
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoopGroup;
 import io.netty.handler.codec.redis.ArrayRedisMessage;
+import io.netty.handler.codec.redis.BulkStringHeaderRedisMessage;
+import io.netty.handler.codec.redis.BulkStringRedisContent;
 import io.netty.handler.codec.redis.ErrorRedisMessage;
 import io.netty.handler.codec.redis.FullBulkStringRedisMessage;
+import io.netty.handler.codec.redis.LastBulkStringRedisContent;
 import io.netty.handler.codec.redis.RedisMessage;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.collection.LongObjectHashMap;
@@ -53,6 +56,8 @@
     private static final double TIMER_AGAIN = 20;
     /** The log tells so many failures; a flood would only cost. */
     private static final int LOGGED = 200;
+    /** A long value that has not moved for this long (ms), for its server or its client, is given up. */
+    private static final double STALLED = 10_000;
     /** Longest wait (ms) that a client may name: past that its request is malformed. */
     private static final double LONGEST = 3_600_000;
 
@@ -74,6 +79,9 @@
         boolean over;
         int out;
         Future<?> timer;
+        /** The attempt whose long value goes to the client as it comes, and when it last moved. */
+        ServerPool.Attempt passing;
+        double movedAt;
 
         Request(long id, ClientListener.Slot slot, ArrayRedisMessage command, Call call, double deadline,
             int most) {
@@ -400,16 +408,21 @@
     /** The client's wait is over: attempts still out have timed out, and the module has the last word. */
     private void waited(Request r) {
         for (ServerPool.Attempt a : r.attempts.toArray(new ServerPool.Attempt[0])) {
-            servers.giveUp(a, Gateway.Outcome.TIMEOUT);
+            if (a != r.passing) {
+                servers.giveUp(a, Gateway.Outcome.TIMEOUT);
+            }
         }
-        if (!r.over) {
+        if (r.passing != null) {
+            r.movedAt = Math.max(r.movedAt, now());
+            mustMove(r);
+        } else if (!r.over) {
             r.timer = after(LAST_WORD, () -> giveUp(r));
         }
     }
 
     /** A request that the module has let lie or choked on fails; each request gets one answer. */
     private void giveUp(Request r) {
-        if (!r.over) {
+        if (answerable(r)) {
             failed(r);
             tell(m -> m.gone(now(), r.id));
         }
@@ -419,16 +432,66 @@
         if (!r.over) {
             over(r);
             tell(m -> m.gone(now(), r.id));
+            if (r.passing != null) {
+                servers.giveUp(r.passing, Gateway.Outcome.CANCELLED);
+            }
             settle(r);
         }
     }
 
+    // ---- long values ----
+
+    /** Its first bytes have come: from here on it is the client's; false where that has its answer. */
+    boolean passing(ServerPool.Attempt a, BulkStringHeaderRedisMessage header, ClientListener.Source source) {
+        Request r = a.request;
+        if (r.over || r.passing != null) {
+            return false;
+        }
+        r.passing = a;
+        a.began = now();
+        r.movedAt = a.began;
+        r.slot.begin(header, source);
+        tell(m -> m.firstAnswer(a.began, r.id, a.number));
+        return true;
+    }
+
+    void passed(ServerPool.Attempt a, BulkStringRedisContent piece) {
+        Request r = a.request;
+        r.movedAt = now();
+        boolean end = piece instanceof LastBulkStringRedisContent;
+        r.slot.piece(piece);
+        if (end && !r.over) {
+            over(r);
+            figures.served(r.call.type());
+        }
+    }
+
+    private void mustMove(Request r) {
+        if (now() - r.movedAt > STALLED) {
+            servers.giveUp(r.passing, Gateway.Outcome.TIMEOUT);
+        } else {
+            r.timer = after(STALLED / 4, () -> mustMove(r));
+        }
+    }
+
+    /** The rest of a long value will not come: the client can tell, as its connection ends. */
+    private void brokeOff(Request r) {
+        over(r);
+        figures.failed(r.call.type());
+        r.slot.breakOff();
+    }
+
     private void answer(Request r, RedisMessage message) {
         over(r);
         r.slot.answer(message);
         settle(r);
     }
 
+    /** Whether it has had nothing of an answer yet. */
+    private static boolean answerable(Request r) {
+        return r != null && !r.over && r.passing == null;
+    }
+
     private void failed(Request r) {
         figures.failed(r.call.type());
         answer(r, new ErrorRedisMessage("ERR failed"));
@@ -462,12 +525,16 @@
         Request r = a.request;
         r.out--;
         double now = now();
-        if (outcome == Gateway.Outcome.OK && !r.over) {
+        if (outcome == Gateway.Outcome.OK && answerable(r)) {
             over(r);
             figures.served(r.call.type());
             r.slot.answer(ReferenceCountUtil.retain(value));
         }
-        boolean told = tell(m -> m.ended(now, r.id, a.number, outcome, now - a.sent, r.over, 0, load));
+        if (a == r.passing && !r.over) {
+            brokeOff(r);
+        }
+        double took = (a.began > 0 ? a.began : now) - a.sent;
+        boolean told = tell(m -> m.ended(now, r.id, a.number, outcome, took, r.over, 0, load));
         if (!told) {
             giveUp(r);
         }
@@ -532,7 +599,7 @@
 
     @Override public void refuse(long id, double retryAfter) {
         Request r = requests.get(id);
-        if (r != null && !r.over) {
+        if (answerable(r)) {
             figures.refused(r.call.type());
             answer(r, new ErrorRedisMessage(retryAfter > 0 ? "BUSY " + Math.round(retryAfter) : "BUSY"));
         }
@@ -540,7 +607,7 @@
 
     @Override public void fail(long id) {
         Request r = requests.get(id);
-        if (r != null && !r.over) {
+        if (answerable(r)) {
             failed(r);
         }
     }
--- a/src/main/java/willowyoke/net/Resp.java
+++ b/src/main/java/willowyoke/net/Resp.java
@@ -4,10 +4,13 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.CodecException;
+import io.netty.handler.codec.redis.ArrayHeaderRedisMessage;
 import io.netty.handler.codec.redis.ArrayRedisMessage;
 import io.netty.handler.codec.redis.BulkStringHeaderRedisMessage;
+import io.netty.handler.codec.redis.BulkStringRedisContent;
 import io.netty.handler.codec.redis.FixedRedisMessagePool;
 import io.netty.handler.codec.redis.FullBulkStringRedisMessage;
+import io.netty.handler.codec.redis.LastBulkStringRedisContent;
 import io.netty.handler.codec.redis.RedisArrayAggregator;
 import io.netty.handler.codec.redis.RedisBulkStringAggregator;
 import io.netty.handler.codec.redis.RedisDecoder;
@@ -36,14 +39,28 @@
 
     /** Adds the codec: whole messages in, messages out; the bounds told limit what is kept of one. */
     static Frames codec(ChannelPipeline pipeline, int mostElements, int longestValue) {
+        return codec(pipeline, mostElements, longestValue, null);
+    }
+
+    /** Adds the codec; where an array's first value exceeds the bound, it goes to the sink in pieces. */
+    static Frames codec(ChannelPipeline pipeline, int mostElements, int longestValue, LongValues sink) {
         LastByte last = new LastByte();
-        Frames frames = new Frames(last, longestValue);
+        Frames frames = new Frames(last, longestValue, sink);
         pipeline.addLast(last, new RedisDecoder(LINE, FixedRedisMessagePool.INSTANCE), frames,
             new RedisBulkStringAggregator(), new RedisArrayAggregator(mostElements, DEPTH),
             new RedisEncoder());
         return frames;
     }
 
+    /** Takes a long value as it comes; the array that it began then has an empty value in its place. */
+    interface LongValues {
+        /** Its header has come; false where it is not wanted. */
+        boolean began(BulkStringHeaderRedisMessage header);
+
+        /** The next piece, to be released by the sink; the end of the value is a piece of its own kind. */
+        void piece(BulkStringRedisContent piece);
+    }
+
     /** The decoder keeps a line until its end has come, and does not tell; all else it passes on. */
     private static final class LastByte extends ChannelInboundHandlerAdapter {
         private byte value = '\n';
@@ -63,19 +80,41 @@
     static final class Frames extends ChannelInboundHandlerAdapter {
         private final LastByte last;
         private final int longest;
+        private final LongValues sink;
         private boolean begun;
+        private boolean firstOfArray;
+        private boolean passing;
 
-        private Frames(LastByte last, int longest) {
+        private Frames(LastByte last, int longest, LongValues sink) {
             this.last = last;
             this.longest = longest;
+            this.sink = sink;
         }
 
         @Override public void channelRead(ChannelHandlerContext ctx, Object msg) {
+            boolean first = firstOfArray;
+            firstOfArray = !begun && msg instanceof ArrayHeaderRedisMessage;
             begun = true;
-            if (msg instanceof BulkStringHeaderRedisMessage header && header.bulkStringLength() > longest) {
-                throw new CodecException("a value of more than " + longest);
+            if (passing && msg instanceof BulkStringRedisContent piece) {
+                pass(ctx, piece);
+            } else if (msg instanceof BulkStringHeaderRedisMessage header
+                && header.bulkStringLength() > longest) {
+                passing = first && sink != null && sink.began(header);
+                if (!passing) {
+                    throw new CodecException("a value of more than " + longest);
+                }
+            } else {
+                ctx.fireChannelRead(msg);
+            }
+        }
+
+        private void pass(ChannelHandlerContext ctx, BulkStringRedisContent piece) {
+            boolean end = piece instanceof LastBulkStringRedisContent;
+            sink.piece(piece);
+            if (end) {
+                passing = false;
+                ctx.fireChannelRead(FullBulkStringRedisMessage.EMPTY_INSTANCE);
             }
-            ctx.fireChannelRead(msg);
         }
 
         /** To be called with each whole message, which ends here. */
--- a/src/main/java/willowyoke/net/ServerPool.java
+++ b/src/main/java/willowyoke/net/ServerPool.java
@@ -1,6 +1,7 @@
 package willowyoke.net;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -12,6 +13,8 @@
 import io.netty.handler.codec.CodecException;
 import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.redis.ArrayRedisMessage;
+import io.netty.handler.codec.redis.BulkStringHeaderRedisMessage;
+import io.netty.handler.codec.redis.BulkStringRedisContent;
 import io.netty.handler.codec.redis.ErrorRedisMessage;
 import io.netty.handler.codec.redis.RedisMessage;
 import io.netty.util.ReferenceCountUtil;
@@ -38,6 +41,9 @@
     private static final double SWEEP = 500;
     private static final double PROBE_WITHIN = 250;
     private static final int MOST_ELEMENTS = 16;
+    /** What is read ahead (bytes) of a long value whose client is behind: here, and below us. */
+    private static final int READ_AT_ONCE = 16 * 1024;
+    private static final int RECEIVE_BUFFER = 128 * 1024;
     /** The reports' names for what the settings call otherwise. */
     private static final Map<String, String> FIELDS = Map.of("inflight", "outstanding", "queue", "backlog",
         "util", "utilization", "latency_ms", "recent_ms", "qps", "throughput", "eps", "errors_per_s");
@@ -49,6 +55,8 @@
         final String server;
         final double sent;
         boolean done;
+        /** When the first bytes of a long value came; 0 for all others. */
+        double began;
         private Link link;
 
         Attempt(Node.Request request, int number, String server, double sent) {
@@ -88,7 +96,10 @@
         this.config = config;
         this.most = most;
         bootstrap = new Bootstrap().group(group).channel(Transport.socket())
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) config.connectTimeout());
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) config.connectTimeout())
+            .option(ChannelOption.SO_RCVBUF, RECEIVE_BUFFER)
+            .option(ChannelOption.RECVBUF_ALLOCATOR,
+                new AdaptiveRecvByteBufAllocator(512, 2048, READ_AT_ONCE));
     }
 
     /** Done when every server of the first list has had its connection come up or fail. */
@@ -264,7 +275,7 @@
         ChannelFuture connected = bootstrap.clone().handler(new ChannelInitializer<SocketChannel>() {
             @Override protected void initChannel(SocketChannel channel) {
                 link.channel = channel;
-                link.frames = Resp.codec(channel.pipeline(), MOST_ELEMENTS);
+                link.frames = Resp.codec(channel.pipeline(), MOST_ELEMENTS, Resp.VALUE, link);
                 channel.pipeline().addLast(link);
             }
         }).connect(t.dial);
@@ -289,7 +300,7 @@
         });
     }
 
-    private final class Link extends ChannelInboundHandlerAdapter {
+    private final class Link extends ChannelInboundHandlerAdapter implements Resp.LongValues {
         private final Target target;
         private Channel channel;
         private Resp.Frames frames;
@@ -351,6 +362,22 @@
             }
         }
 
+        @Override public boolean began(BulkStringHeaderRedisMessage header) {
+            return current != null && current.request != null && node.passing(current, header, this::read);
+        }
+
+        @Override public void piece(BulkStringRedisContent piece) {
+            if (current == null) {
+                ReferenceCountUtil.release(piece); // the client has gone, and this connection ends
+            } else {
+                node.passed(current, piece);
+            }
+        }
+
+        private void read(boolean on) {
+            channel.config().setAutoRead(on);
+        }
+
         private void answered(Attempt a, RedisMessage msg) {
             if (msg instanceof ArrayRedisMessage array && !array.isNull() && !array.children().isEmpty()
                 && Resp.isValue(array.children().get(0)) && a.request != null) {
--- a/src/test/java/willowyoke/RulesTest.java
+++ b/src/test/java/willowyoke/RulesTest.java
@@ -101,6 +101,26 @@
         assertEquals(1, b.count("send 7"));
     }
 
+    /** From its first bytes on a long answer takes as long as the client: that is not the server's time. */
+    @Test void aLongAnswerCountsByItsFirstBytes() {
+        Bench b = Bench.plain().start().servers(1);
+        int begun = 0;
+        for (int i = 1; i <= 12; i++) {
+            b.arrive(i, "read", "big", "c");
+            b.to(b.now + 50);
+            if (b.count("send " + i + " ") == 1) {
+                b.module.firstAnswer(b.now, i, 0);
+                begun++;
+            }
+        }
+        assertEquals(12, begun, "none waits for those that are still read");
+        b.to(5000);
+        assertEquals(0, b.count("cancel") + b.count("fail") + b.count("refuse"));
+        b.module.ended(b.now, 1, 0, Gateway.Outcome.RESET, 50, true, 0, new double[0]);
+        b.arrive(20, "read", "big", "c");
+        assertEquals(1, b.count("send 20 "));
+    }
+
     /** The part of a ceiling is filled by the process that takes over, and by it alone. */
     @Test void aReplacedProcessFillsNoCeiling() {
         Bench b = Bench.plain().start().servers(2);
--- a/src/test/java/willowyoke/net/Peer.java
+++ b/src/test/java/willowyoke/net/Peer.java
@@ -68,6 +68,10 @@
             return parts;
         }
 
+        String bytes(int count) throws IOException {
+            return new String(in.readNBytes(count), StandardCharsets.ISO_8859_1);
+        }
+
         void write(String text) throws IOException {
             socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
         }
