Measure the cold budget by what warm servers get, as the mean of all shrinks with itself

The mean is now over warm servers, and stays while none is.

The inherited rule holds: three times a cold server's capacity is not reached, as a warm server gets no more than it can do, and a cold one 1.5 times its share of that from all together.

--- a/src/main/java/willowyoke/Decide.java
+++ b/src/main/java/willowyoke/Decide.java
@@ -62,7 +62,7 @@
     private final Map<Long, ArrayDeque<Call>> calls = new HashMap<>();
     private final PriorityQueue<Timer> timers =
         new PriorityQueue<>(Comparator.<Timer>comparingDouble(t -> t.at).thenComparingLong(t -> t.serial));
-    private double armed = Double.MAX_VALUE, sendRate, meanAim, longestAim, sentInPeriod;
+    private double armed = Double.MAX_VALUE, warmRate, meanAim, longestAim, sentWarm;
     private double counterSilentUntil, usuallyInside = 1, silentSince;
     private int misses, up;
     private long edges;
@@ -472,8 +472,11 @@
 
     private void onEdge() {
         at(Kind.EDGE, nextEdge(), null);
-        sendRate += (sentInPeriod * 1000 / SUBPERIOD - sendRate) * FAST;
-        sentInPeriod = 0;
+        long warm = hosts.values().stream().filter(h -> h.up && !h.detached && warmth(h) >= 1).count();
+        if (warm > 0) {
+            warmRate += (sentWarm * 1000 / SUBPERIOD / warm - warmRate) * FAST;
+        }
+        sentWarm = 0;
         askRate += (askedInPeriod * 1000 / SUBPERIOD - askRate) * Math.max(FAST, 1.0 / ++edges);
         askedInPeriod = 0;
         if (turnedAway || callsLate > callsHeard) { // a few late ones are no crowd: bursts are served in turn
@@ -869,7 +872,7 @@
         h.out.add(a);
         h.coldCredit -= 1;
         h.lastSent = now;
-        sentInPeriod++;
+        sentWarm += warmth(h) >= 1 ? 1 : 0;
         paceCredit--;
         at(Kind.LATE, now + r.type.told.aim() / 2, r);
         act.send(r.told.id(), h.id, 0);
@@ -930,11 +933,12 @@
 
     /**
      * This gateway's part of what a cold server can bear: its mean to a warm one, scaled to what this one can
-     * do. It starts anywhere under one send, as one send of each gateway at once would be far too much.
+     * do; the last such mean while none is warm, as one that counts the cold ones shrinks with itself. It
+     * starts anywhere under one send, as one send of each gateway at once would be far too much.
      */
     private double coldBudget(Host h) {
         double most = Math.max(1, set.rules().overloadFactor() / 2);
-        double rate = sendRate / 1000 / Math.max(1, up) * warmth(h) * most;
+        double rate = warmRate / 1000 * warmth(h) * most;
         h.coldCredit = Math.min(Math.max(1, rate * set.rules().overloadFor()),
             h.coldCredit + rate * (now - h.coldAt));
         h.coldAt = now;
--- a/src/test/java/willowyoke/Bench.java
+++ b/src/test/java/willowyoke/Bench.java
@@ -17,6 +17,7 @@
     int nodes = 2;
     private double otherUnits;
     private double othersAt;
+    private int answered;
     double now;
     Decide module;
     List<Gateway.RequestClass> classes = List.of(
@@ -99,6 +100,15 @@
         module.ended(now, id, attempt, outcome, 20, outcome == Gateway.Outcome.OK, 0, new double[0]);
     }
 
+    /** The first attempts of all that was sent since the last time are answered. */
+    void answerSent() {
+        for (; answered < log.size(); answered++) {
+            if (log.get(answered).startsWith("send ")) {
+                end(Long.parseLong(log.get(answered).split(" ")[1]), 0, Gateway.Outcome.OK);
+            }
+        }
+    }
+
     /** Advances the clock, firing the timers that fall due. */
     void to(double time) {
         while (true) {
--- a/src/test/java/willowyoke/QuotaTest.java
+++ b/src/test/java/willowyoke/QuotaTest.java
@@ -86,13 +86,8 @@
         double free = 0;
         int late = 0;
         int all = 0;
-        int read = 0;
         for (int i = 0; i < 12_000; i++) {
-            for (; read < b.log.size(); read++) {
-                if (b.log.get(read).startsWith("send ")) {
-                    b.end(Long.parseLong(b.log.get(read).split(" ")[1]), 0, OK);
-                }
-            }
+            b.answerSent();
             if (i == 6000) {
                 late = all = 0; // until here it learns
             }
--- a/src/test/java/willowyoke/RulesTest.java
+++ b/src/test/java/willowyoke/RulesTest.java
@@ -121,6 +121,25 @@
         assertEquals(1, b.count("send 20 "));
     }
 
+    /** Where all are cold at once, what each gets is measured by what it got warm. */
+    @Test void aColdFleetGetsItsPartAllTheTime() {
+        Bench b = Bench.plain().start().servers(4);
+        long half = 0;
+        for (int i = 0; i < 650; i++) {
+            b.arrive(i, "read", "big", "c");
+            if (i == 150) { // after 3 s with 50 requests a second
+                b.module.servers(b.now, List.of(Bench.server(0, Gateway.State.UP, b.now),
+                    Bench.server(1, Gateway.State.UP, b.now), Bench.server(2, Gateway.State.UP, b.now),
+                    Bench.server(3, Gateway.State.UP, b.now)), false);
+            }
+            b.to(b.now + 20);
+            b.answerSent();
+            half = i == 400 ? b.count("send") : half;
+        }
+        long late = b.count("send") - half;
+        assertTrue(late > 40 && late < 150, "of 250, where a cold server can do a fifth: " + late);
+    }
+
     /** The part of a ceiling is filled by the process that takes over, and by it alone. */
     @Test void aReplacedProcessFillsNoCeiling() {
         Bench b = Bench.plain().start().servers(2);
