Play experiments on real edge nodes among stand-ins, with faults between them

Change: fleet/ (parent, lab, cli) beside the untouched edge node; experiments as TOML that is refused with file, line and key; all draws ahead by named streams; stand-ins of flag servers, counter, discovery's agents, front and clients; delays, cuts and resets on every connection; processes started by the deploy file's run, limited, measured, and killed by the kernel with the lab; a rule checker on what the stand-ins saw; result.json, report.html, compare and follow.

--- /dev/null
+++ b/fleet/cli/src/main/java/barleyfall/cli/LabCommand.java
@@ -0,0 +1,117 @@
+package barleyfall.cli;
+
+import barleyfall.lab.experiment.Experiment;
+import barleyfall.lab.experiment.ExperimentReader;
+import barleyfall.lab.experiment.Misstated;
+import barleyfall.lab.plan.Plan;
+import barleyfall.lab.result.Compare;
+import barleyfall.lab.result.Follow;
+import barleyfall.lab.result.Report;
+import barleyfall.lab.result.Result;
+import barleyfall.lab.result.Text;
+import barleyfall.lab.run.LabLog;
+import barleyfall.lab.run.LabRun;
+import barleyfall.lab.run.Project;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.time.LocalDateTime;
+import java.time.format.DateTimeFormatter;
+import java.util.List;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** {@code barleyfall lab}: experiments. */
+@Command(name = "lab", mixinStandardHelpOptions = true,
+    description = "Plays experiments: real edge nodes among stand-ins, with faults between them.")
+final class LabCommand implements Runnable {
+    @CommandLine.Spec private CommandLine.Model.CommandSpec spec;
+
+    @Override public void run() {
+        spec.commandLine().usage(System.out);
+    }
+
+    /** The checkout that this command belongs to. */
+    static Path home() {
+        return Path.of(System.getProperty("barleyfall.root", "."));
+    }
+
+    private static int say(Misstated bad) {
+        bad.problems().forEach(System.err::println);
+        return Main.WRONG_USE;
+    }
+
+    @Command(name = "check", mixinStandardHelpOptions = true,
+        description = "Reads experiments and says what is wrong with them; plays nothing.")
+    int check(@Parameters(arity = "1..*", paramLabel = "FILE", description = "experiments (TOML)") List<Path> files)
+        throws IOException {
+        int code = Main.GOOD;
+        for (Path file : files) {
+            try {
+                Experiment e = ExperimentReader.read(file);
+                Plan plan = Plan.draw(e, e.seed());
+                System.out.printf("%s: good; %d edge nodes, %d flag servers, %d customers, %d first tries, "
+                    + "%d faults, %d expectations, plan %s%n", file, e.topology().edges(), e.topology().servers(),
+                    plan.customers().size(), plan.arrivals().size(), e.faults().size(), e.expectations().size(),
+                    plan.hash());
+            } catch (Misstated bad) {
+                code = say(bad);
+            }
+        }
+        return code;
+    }
+
+    @Command(name = "run", mixinStandardHelpOptions = true,
+        description = "Plays an experiment, prints its table and exits by its expectations.")
+    int play(@Parameters(paramLabel = "FILE", description = "an experiment (TOML)") Path file,
+        @Option(names = "--seed", description = "in place of the file's own") Long seed,
+        @Option(names = "--out", paramLabel = "DIR", description = "where result.json, report.html, events.jsonl "
+            + "and log.jsonl go (default: lab-out/NAME-TIME, which git ignores)") Path out,
+        @Option(names = "--edges-of", paramLabel = "DIR",
+            description = "a built checkout whose edge nodes are run (default: this one's)") Path edgesOf)
+        throws IOException {
+        try {
+            return play(ExperimentReader.read(file), seed, out, edgesOf);
+        } catch (Misstated bad) {
+            return say(bad);
+        }
+    }
+
+    static int play(Experiment e, Long seed, Path out, Path edgesOf) throws IOException {
+        Path folder = out != null ? out : home().resolve("lab-out").resolve(
+            Path.of(e.file()).getFileName().toString().replace(".toml", "")
+                + LocalDateTime.now().format(DateTimeFormatter.ofPattern("-yyyyMMdd-HHmmss")));
+        Project project = Project.find(edgesOf != null ? edgesOf : home());
+        Progress progress = new Progress();
+        Result result;
+        try (LabLog log = new LabLog(folder)) {
+            result = new LabRun(e, seed != null ? seed : e.seed(), project, folder, progress).play();
+        } finally {
+            progress.done();
+        }
+        Path report = Report.write(result, folder);
+        Text.lines(result).forEach(System.out::println);
+        System.out.println("report: " + report);
+        boolean good = result.sound() && result.expectations().stream().noneMatch(Result.Checked::fails);
+        return good ? Main.GOOD : Main.FAILED;
+    }
+
+    @Command(name = "compare", mixinStandardHelpOptions = true,
+        description = "Puts results side by side: medians, spread, and which differences noise could give.")
+    int compare(@Parameters(index = "0", paramLabel = "A", description = "a folder with one run or several") Path a,
+        @Parameters(index = "1", paramLabel = "B", description = "another") Path b) throws IOException {
+        Compare.lines(Compare.results(a), Compare.results(b)).forEach(System.out::println);
+        return Main.GOOD;
+    }
+
+    @Command(name = "follow", mixinStandardHelpOptions = true,
+        description = "Prints everything that happened to one request, at every process that touched it.")
+    int follow(@Parameters(index = "0", paramLabel = "RESULT", description = "the folder of a run") Path result,
+        @Parameters(index = "1", paramLabel = "ID", description = "a request's id, 16 hex digits") String id)
+        throws IOException {
+        List<String> lines = Follow.lines(result, id);
+        lines.forEach(System.out::println);
+        return lines.isEmpty() ? Main.FAILED : Main.GOOD;
+    }
+}
--- /dev/null
+++ b/fleet/lab/src/main/java/barleyfall/lab/experiment/Misstated.java
@@ -0,0 +1,19 @@
+package barleyfall.lab.experiment;
+
+import java.util.List;
+
+/** A file that cannot be played as it stands; each line names file, line and key. */
+public final class Misstated extends Exception {
+    private static final long serialVersionUID = 1L;
+    private final transient List<String> problems;
+
+    Misstated(List<String> problems) {
+        super(String.join(System.lineSeparator(), problems));
+        this.problems = List.copyOf(problems);
+    }
+
+    /** One line for each mistake, in the order of the file. */
+    public List<String> problems() {
+        return problems;
+    }
+}
--- /dev/null
+++ b/fleet/lab/src/main/java/barleyfall/lab/experiment/Table.java
@@ -0,0 +1,213 @@
+package barleyfall.lab.experiment;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import org.tomlj.TomlArray;
+import org.tomlj.TomlPosition;
+import org.tomlj.TomlTable;
+
+/**
+ * A table of the file while it is read: each key asked for is known, and what no one asked for is refused at
+ * the end. Mistakes are gathered, so that one reading names all of them.
+ */
+final class Table {
+    private final String file;
+    private final String path;
+    private final TomlTable table;
+    private final int line;
+    private final List<String> problems;
+    private final Set<String> known = new TreeSet<>();
+    private final List<Table> inner = new ArrayList<>();
+
+    Table(String file, String path, TomlTable table, int line, List<String> problems) {
+        this.file = file;
+        this.path = path;
+        this.table = table;
+        this.line = line;
+        this.problems = problems;
+    }
+
+    int line() {
+        return line;
+    }
+
+    /** Notes a mistake at a key of this table, or at the table itself where the key is absent. */
+    void wrong(String key, String what) {
+        problems.add(file + ":" + lineOf(key) + ": " + (path.isEmpty() ? "" : path + ".") + key + ": " + what);
+    }
+
+    private int lineOf(String key) {
+        TomlPosition at = table.isEmpty() ? null : table.inputPositionOf(List.of(key));
+        return at == null ? line : at.line();
+    }
+
+    boolean has(String key) {
+        known.add(key);
+        return table.contains(List.of(key));
+    }
+
+    private Object get(String key) {
+        known.add(key);
+        return table.get(List.of(key));
+    }
+
+    double number(String key, Units.Kind kind, double other) {
+        Object stated = get(key);
+        if (stated == null) {
+            return other;
+        }
+        try {
+            return Units.read(stated, kind);
+        } catch (IllegalArgumentException bad) {
+            wrong(key, bad.getMessage());
+            return other;
+        }
+    }
+
+    double needed(String key, Units.Kind kind) {
+        if (!has(key)) {
+            wrong(key, "is missing");
+            return 0;
+        }
+        return number(key, kind, 0);
+    }
+
+    int whole(String key, int other, int least, int most) {
+        double value = number(key, Units.Kind.NUMBER, other);
+        if (value != Math.rint(value) || value < least || value > most) {
+            wrong(key, "a whole number from " + least + " to " + most + " expected, found " + value);
+            return other;
+        }
+        return (int) value;
+    }
+
+    boolean flag(String key, boolean other) {
+        Object stated = get(key);
+        if (stated != null && !(stated instanceof Boolean)) {
+            wrong(key, "true or false expected, found " + stated);
+            return other;
+        }
+        return stated == null ? other : (Boolean) stated;
+    }
+
+    String text(String key, String other) {
+        Object stated = get(key);
+        if (stated != null && !(stated instanceof String)) {
+            wrong(key, "a text expected, found " + stated);
+            return other;
+        }
+        return stated == null ? other : (String) stated;
+    }
+
+    String oneOf(String key, String other, Set<String> words) {
+        String word = text(key, other);
+        if (word == null) {
+            wrong(key, "is missing, one of " + new TreeSet<>(words));
+            return "";
+        }
+        if (!words.contains(word)) {
+            wrong(key, "one of " + new TreeSet<>(words) + " expected, found \"" + word + "\"");
+        }
+        return word;
+    }
+
+    List<String> words(String key, List<String> other) {
+        Object stated = get(key);
+        if (stated == null) {
+            return other;
+        }
+        List<String> words = new ArrayList<>();
+        if (stated instanceof TomlArray array) {
+            for (Object each : array.toList()) {
+                if (each instanceof String word && !words.contains(word)) {
+                    words.add(word);
+                } else {
+                    wrong(key, "texts expected, each once, found " + each);
+                }
+            }
+        } else {
+            wrong(key, "a list of texts expected");
+        }
+        return words;
+    }
+
+    /** One figure, or two from low to high. */
+    Experiment.Range range(String key, Units.Kind kind, double from, double to) {
+        Object stated = get(key);
+        if (stated == null) {
+            return new Experiment.Range(from, to);
+        }
+        try {
+            if (stated instanceof TomlArray array) {
+                if (array.size() != 2) {
+                    throw new IllegalArgumentException("two figures expected, from low to high");
+                }
+                double low = Units.read(array.get(0), kind);
+                double high = Units.read(array.get(1), kind);
+                if (low > high) {
+                    throw new IllegalArgumentException("the first figure is above the second");
+                }
+                return new Experiment.Range(low, high);
+            }
+            double value = Units.read(stated, kind);
+            return new Experiment.Range(value, value);
+        } catch (IllegalArgumentException bad) {
+            wrong(key, bad.getMessage());
+            return new Experiment.Range(from, to);
+        }
+    }
+
+    /** A table inside this one; an empty one where the file has none. */
+    Table table(String key) {
+        Object stated = get(key);
+        if (stated != null && !(stated instanceof TomlTable)) {
+            wrong(key, "a table expected");
+        }
+        TomlTable found = stated instanceof TomlTable t ? t : org.tomlj.Toml.parse("");
+        return keep(new Table(file, join(key), found, stated == null ? line : lineOf(key), problems));
+    }
+
+    List<Table> tables(String key) {
+        List<Table> all = new ArrayList<>();
+        Object stated = get(key);
+        if (stated instanceof TomlArray array && array.toList().stream().allMatch(TomlTable.class::isInstance)) {
+            for (int i = 0; i < array.size(); i++) {
+                all.add(keep(new Table(file, join(key) + "[" + i + "]", array.getTable(i),
+                    array.inputPositionOf(i).line(), problems)));
+            }
+        } else if (stated != null) {
+            wrong(key, "[[" + key + "]] tables expected");
+        }
+        return all;
+    }
+
+    Map<String, List<String>> lists(String key) {
+        Table t = table(key);
+        Map<String, List<String>> all = new LinkedHashMap<>();
+        t.table.keySet().forEach(name -> all.put(name, t.words(name, List.of())));
+        return all;
+    }
+
+    private String join(String key) {
+        return path.isEmpty() ? key : path + "." + key;
+    }
+
+    private Table keep(Table t) {
+        inner.add(t);
+        return t;
+    }
+
+    /** Refuses every key that was never asked for, here and within. */
+    void refuseRest() {
+        for (String key : table.keySet()) {
+            if (!known.contains(key)) {
+                wrong(key, "no such key; known here: " + known);
+            }
+        }
+        inner.forEach(Table::refuseRest);
+    }
+}
--- /dev/null
+++ b/fleet/lab/src/main/java/barleyfall/lab/result/Outcomes.java
@@ -0,0 +1,134 @@
+package barleyfall.lab.result;
+
+import barleyfall.lab.experiment.Experiment;
+import barleyfall.lab.seen.Seen;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** What became of each client's wish, all its tries taken together. */
+final class Outcomes {
+    /** One wish: when it was meant to go out first, what it is worth, and when it was served; NaN for never. */
+    static final class Wish {
+        final double meant;
+        final int type;
+        final int plan;
+        final long customer;
+        final int units;
+        boolean inside;
+        int tries;
+        double served = Double.NaN;
+        String last = "unanswered";
+
+        Wish(double meant, int type, int plan, long customer, int units) {
+            this.meant = meant;
+            this.type = type;
+            this.plan = plan;
+            this.customer = customer;
+            this.units = units;
+        }
+    }
+
+    private static final class Store {
+        double level;
+        double at;
+    }
+
+    private final Experiment e;
+    private final Map<Long, Wish> wishes = new LinkedHashMap<>();
+
+    Outcomes(Experiment e, List<Seen> trace) {
+        this.e = e;
+        Map<Long, Long> firstOf = new HashMap<>();
+        for (Seen s : trace) {
+            if (s instanceof Seen.Asked a) {
+                firstOf.put(a.id(), a.first());
+                tried(a.first(), a.meant(), a.type(), a.plan(), a.customer(), a.units());
+            } else if (s instanceof Seen.NotTaken n) {
+                tried(n.first(), n.meant(), n.type(), n.plan(), n.customer(), n.units()).last = "not taken";
+            } else if (s instanceof Seen.Answered a && firstOf.containsKey(a.id())) {
+                Wish w = wishes.get(firstOf.get(a.id()));
+                w.last = a.outcome();
+                if (a.outcome().equals("served") && Double.isNaN(w.served)) {
+                    w.served = a.at();
+                }
+            }
+        }
+        quotas();
+    }
+
+    private Wish tried(long first, double meant, int type, int plan, long customer, int units) {
+        Wish w = wishes.computeIfAbsent(first, f -> new Wish(meant, type, plan, customer, units));
+        w.tries++;
+        return w;
+    }
+
+    /** What one gateway that saw all first tries would let in. */
+    private void quotas() {
+        Map<Long, Store> stores = new HashMap<>();
+        List<Wish> inOrder = new ArrayList<>(wishes.values());
+        inOrder.sort(Comparator.comparingDouble(w -> w.meant));
+        for (Wish w : inOrder) {
+            Experiment.Plan plan = e.plans().get(w.plan);
+            Store store = stores.computeIfAbsent(w.customer, c -> {
+                Store full = new Store();
+                full.level = plan.burst();
+                full.at = w.meant;
+                return full;
+            });
+            store.level = Math.min(plan.burst(), store.level + (w.meant - store.at) * plan.rate() / 1000);
+            store.at = w.meant;
+            w.inside = store.level >= w.units;
+            if (w.inside) {
+                store.level -= w.units;
+            }
+        }
+    }
+
+    /** The wishes that were meant to go out first within a span (ms). */
+    List<Wish> between(double from, double to) {
+        return wishes.values().stream().filter(w -> w.meant >= from && w.meant < to).toList();
+    }
+
+    double worth(Wish w) {
+        return e.classes().get(w.type).worth() * e.plans().get(w.plan).price() * w.units;
+    }
+
+    /** The share of its worth that a wish earned: all within the aim, a part until the deadline. */
+    double earned(Wish w) {
+        Experiment.RequestClass type = e.classes().get(w.type);
+        if (Double.isNaN(w.served) || w.served > w.meant + type.deadline()) {
+            return 0;
+        }
+        return w.served <= w.meant + type.aim() ? 1 : type.lateShare();
+    }
+
+    /** Worth earned over worth asked for, inside the quotas; NaN where nothing was asked. */
+    double service(double from, double to) {
+        double offered = 0;
+        double earned = 0;
+        for (Wish w : between(from, to)) {
+            if (w.inside) {
+                offered += worth(w);
+                earned += worth(w) * earned(w);
+            }
+        }
+        return offered > 0 ? earned / offered : Double.NaN;
+    }
+
+    /** The share of the wishes inside their quotas that were served in time, each counting one. */
+    double served(double from, double to) {
+        long inside = 0;
+        long served = 0;
+        for (Wish w : between(from, to)) {
+            if (w.inside) {
+                inside++;
+                served += earned(w) >= 1 ? 1 : 0;
+            }
+        }
+        return inside > 0 ? served / (double) inside : Double.NaN;
+    }
+}
--- /dev/null
+++ b/fleet/lab/src/main/java/barleyfall/lab/rules/History.java
@@ -0,0 +1,117 @@
+package barleyfall.lab.rules;
+
+import barleyfall.lab.seen.Seen;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** The trace sorted by request and by edge node. */
+final class History {
+    /** What was seen of one request. */
+    static final class Request {
+        final List<Seen.Asked> asked = new ArrayList<>();
+        final List<Seen.Answered> answers = new ArrayList<>();
+        final List<Seen.Unanswered> unanswered = new ArrayList<>();
+        final List<Seen.Attempt> attempts = new ArrayList<>();
+        final List<Seen.AttemptOver> ends = new ArrayList<>();
+
+        /** How an attempt ended at its flag server, or null where it is out. */
+        Seen.AttemptOver endOf(Seen.Attempt a) {
+            return ends.stream().filter(e -> e.order() == a.order() && e.server().equals(a.server())).findFirst()
+                .orElse(null);
+        }
+    }
+
+    final Map<Long, Request> requests = new LinkedHashMap<>();
+    final List<Seen.Unasked> unasked = new ArrayList<>();
+    final List<Seen.Malformed> malformed = new ArrayList<>();
+    private final Map<Integer, List<Seen.Edge>> edges = new HashMap<>();
+    private final List<Seen.Fault> cuts = new ArrayList<>();
+
+    History(List<Seen> trace) {
+        for (Seen s : trace) {
+            if (s instanceof Seen.Asked a) {
+                of(a.id()).asked.add(a);
+            } else if (s instanceof Seen.Answered a) {
+                of(a.id()).answers.add(a);
+            } else if (s instanceof Seen.Unanswered u) {
+                of(u.id()).unanswered.add(u);
+            } else if (s instanceof Seen.Attempt a) {
+                of(a.id()).attempts.add(a);
+            } else if (s instanceof Seen.AttemptOver o) {
+                of(o.id()).ends.add(o);
+            } else if (s instanceof Seen.Unasked u) {
+                unasked.add(u);
+            } else if (s instanceof Seen.Malformed m) {
+                malformed.add(m);
+            } else if (s instanceof Seen.Edge e) {
+                edges.computeIfAbsent(e.edge(), n -> new ArrayList<>()).add(e);
+            } else if (s instanceof Seen.Fault f && f.what().equals("door")) {
+                cuts.add(f);
+            }
+        }
+    }
+
+    private Request of(long id) {
+        return requests.computeIfAbsent(id, i -> new Request());
+    }
+
+    /** What the lab did to an edge node's process, and what became of it, in the order of time. */
+    List<Seen.Edge> edge(int number) {
+        return edges.getOrDefault(number, List.of());
+    }
+
+    /**
+     * Whether the lab itself kept an edge node from answering within a span: killed or stopped it, or cut it off
+     * from its clients. Being ended after a SIGTERM excuses nothing that came more than 0.7 s after it.
+     */
+    boolean hindered(int number, double from, double to) {
+        double term = Double.POSITIVE_INFINITY;
+        boolean stopped = false;
+        for (Seen.Edge e : edge(number)) {
+            if (e.what().equals("cont")) {
+                if (stopped && e.at() >= from) {
+                    return true;
+                }
+                stopped = false;
+            }
+            if (e.at() > to) {
+                break;
+            }
+            switch (e.what()) {
+                case "term" -> term = e.at();
+                case "started" -> term = Double.POSITIVE_INFINITY;
+                case "stop" -> stopped = true;
+                case "kill" -> {
+                    if (e.at() >= from && from <= term + AFTER_TERM) {
+                        return true;
+                    }
+                }
+                default -> { }
+            }
+        }
+        return stopped || cut(number, from, to);
+    }
+
+    private boolean cut(int number, double from, double to) {
+        double since = Double.NaN;
+        for (Seen.Fault f : cuts) {
+            if (!f.on().equals("n" + number)) {
+                continue;
+            }
+            if (f.begins()) {
+                since = f.at();
+            } else if (!Double.isNaN(since)) {
+                if (since <= to && f.at() >= from) {
+                    return true;
+                }
+                since = Double.NaN;
+            }
+        }
+        return since <= to;
+    }
+
+    private static final double AFTER_TERM = 700;
+}
--- /dev/null
+++ b/fleet/lab/src/main/java/barleyfall/lab/run/LabRun.java
@@ -0,0 +1,128 @@
+package barleyfall.lab.run;
+
+import barleyfall.lab.experiment.Experiment;
+import barleyfall.lab.net.LabClock;
+import barleyfall.lab.plan.Plan;
+import barleyfall.lab.process.AddressBlock;
+import barleyfall.lab.result.Result;
+import barleyfall.lab.result.Results;
+import barleyfall.lab.rules.RuleChecker;
+import barleyfall.lab.rules.Rulebook;
+import barleyfall.lab.rules.Violation;
+import barleyfall.lab.seen.Seen;
+import barleyfall.lab.seen.Trace;
+import com.sun.management.OperatingSystemMXBean;
+import java.io.IOException;
+import java.lang.management.ManagementFactory;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.HdrHistogram.Histogram;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Plays an experiment once. */
+public final class LabRun {
+    private static final Logger LOG = LoggerFactory.getLogger(LabRun.class);
+    /** The file of what was seen, in the folder of a run. */
+    public static final String TRACE = "events.jsonl";
+    /** A run in which more than one first try in a hundred went out later than this (ms) does not count. */
+    private static final double LATE = 5;
+    private static final double LEAD = 200;
+    /** After the last arrival, until the last deadline and what may be late behind it. */
+    private static final double TAIL = 1000;
+
+    private final Plan plan;
+    private final long seed;
+    private final Project project;
+    private final Path out;
+    private final Consumer<String> progress;
+
+    /** Out: the folder for all that the run writes; it is made. */
+    public LabRun(Experiment experiment, long seed, Project project, Path out, Consumer<String> progress) {
+        plan = Plan.draw(experiment, seed);
+        this.seed = seed;
+        this.project = StandIns.project(experiment, project);
+        this.out = out;
+        this.progress = progress;
+    }
+
+    /** Plays it; the result and the trace are written to its folder too. Nothing that it started is left. */
+    public Result play() throws IOException {
+        Files.createDirectories(out);
+        Experiment e = plan.experiment();
+        Trace trace = new Trace();
+        LabClock clock = new LabClock();
+        List<String> unsound = new ArrayList<>();
+        Histogram lateness;
+        double cpu;
+        try (AddressBlock addresses = AddressBlock.claim()) {
+            Parties parties = new Parties(plan, clock, addresses, trace);
+            try (Edges edges = new Edges(plan, clock, addresses, parties, project, out, trace)) {
+                edges.startAll(progress);
+                Director director = new Director(plan, clock, parties, edges, trace);
+                clock.startIn(LEAD);
+                director.schedule();
+                double before = cpuMs();
+                Thread ticker = ticker(clock, e.length());
+                parties.front.play();
+                rest(clock, e);
+                ticker.interrupt();
+                cpu = cpuMs() - before;
+                unsound.addAll(director.stop());
+            } finally {
+                parties.stop();
+            }
+            lateness = parties.front.lateness();
+        }
+        List<Seen> seen = trace.inOrder();
+        Trace.write(out.resolve(TRACE), seen);
+        List<Violation> violations = RuleChecker.check(seen, Rulebook.of(e));
+        double late = lateness.getValueAtPercentile(99) / 1000;
+        if (late > LATE) {
+            unsound.add(String.format("load was sent late: %.1f ms at p99, %.0f allowed", late, LATE));
+        }
+        Map<String, Double> extra = new LinkedHashMap<>();
+        extra.put("lab-late-p99-ms", late);
+        extra.put("lab-cpu-cores", cpu / (e.length() + LEAD));
+        Result result = new Results(plan, seen, violations).sum(seed, project.root().getFileName().toString(),
+            unsound, extra);
+        result.write(out);
+        return result;
+    }
+
+    private void rest(LabClock clock, Experiment e) {
+        double longest = e.classes().stream().mapToDouble(Experiment.RequestClass::deadline).max().orElse(0);
+        double last = plan.arrivals().isEmpty() ? 0 : plan.arrivals().get(plan.arrivals().size() - 1).at();
+        sleep(clock, Math.max(e.length(), last + longest + TAIL));
+    }
+
+    private static void sleep(LabClock clock, double until) {
+        try {
+            Thread.sleep((long) Math.max(0, until - clock.now()));
+        } catch (InterruptedException stop) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private Thread ticker(LabClock clock, double length) {
+        Thread t = new Thread(() -> {
+            for (int s = 0; s * 1000 < length && !Thread.currentThread().isInterrupted(); s++) {
+                sleep(clock, s * 1000);
+                progress.accept("playing: " + s + " of " + Math.round(length / 1000) + " s");
+            }
+        }, "progress");
+        t.setDaemon(true);
+        t.start();
+        LOG.info("load begins: {} first tries over {} s, plan {}", plan.arrivals().size(), length / 1000, plan.hash());
+        return t;
+    }
+
+    private static double cpuMs() {
+        return ManagementFactory.getPlatformMXBean(OperatingSystemMXBean.class).getProcessCpuTime() / 1e6;
+    }
+}
--- /dev/null
+++ b/fleet/lab/src/main/java/barleyfall/lab/run/package-info.java
@@ -0,0 +1,2 @@
+/** One run of an experiment: parties set up, load played, faults carried out, everything ended. */
+package barleyfall.lab.run;
--- /dev/null
+++ b/fleet/lab/src/main/java/barleyfall/lab/standin/FlagFleet.java
@@ -0,0 +1,203 @@
+package barleyfall.lab.standin;
+
+import barleyfall.lab.experiment.Experiment;
+import barleyfall.lab.net.Door;
+import barleyfall.lab.net.LabClock;
+import barleyfall.lab.net.Link;
+import barleyfall.lab.net.Way;
+import barleyfall.lab.plan.Machine;
+import barleyfall.lab.plan.Plan;
+import barleyfall.lab.seen.Seen;
+import io.netty.channel.EventLoopGroup;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.BiFunction;
+import java.util.function.Consumer;
+
+/** All flag servers of a run, each with a door and a link for every edge node; and what can befall them. */
+public final class FlagFleet {
+    /** A machine with the server on it. */
+    private static final class Stand {
+        final FlagServer server;
+        final List<Door> doors = new ArrayList<>();
+        final List<Link> links = new ArrayList<>();
+        boolean silent;
+
+        Stand(FlagServer server) {
+            this.server = server;
+        }
+    }
+
+    private final Plan plan;
+    private final LabClock clock;
+    private final EventLoopGroup loops;
+    private final Catalog catalog;
+    private final Requests requests;
+    private final BiFunction<Integer, Integer, InetSocketAddress> addresses;
+    private final Consumer<Seen> trace;
+    private final List<Stand> stands = new CopyOnWriteArrayList<>();
+
+    /** Addresses: of a machine (second) as an edge node (first) finds it. */
+    public FlagFleet(Plan plan, LabClock clock, EventLoopGroup loops, Catalog catalog, Requests requests,
+        BiFunction<Integer, Integer, InetSocketAddress> addresses, Consumer<Seen> trace) {
+        this.plan = plan;
+        this.clock = clock;
+        this.loops = loops;
+        this.catalog = catalog;
+        this.requests = requests;
+        this.addresses = addresses;
+        this.trace = trace;
+    }
+
+    /** The first fleet, warm and listed. */
+    public void start() throws IOException {
+        for (int i = 0; i < plan.experiment().topology().servers(); i++) {
+            Stand s = add(plan.zone(i));
+            run(s, () -> s.server.start(false));
+            catalog.listFirst(s.server.machine());
+            open(s);
+        }
+    }
+
+    private Stand add(String zone) {
+        Experiment e = plan.experiment();
+        int number = stands.size();
+        Machine machine = plan.machine(number, zone);
+        Stand s = new Stand(new FlagServer(machine, e, clock, loops.next(), requests, trace));
+        for (int edge = 0; edge < e.topology().edges(); edge++) {
+            int n = edge;
+            double delay = plan.delay("n" + edge + " s" + number, plan.zone(edge), zone);
+            Link link = new Link(new Way(delay, e.delays().jitter()), new Way(delay, e.delays().jitter()));
+            s.links.add(link);
+            s.doors.add(new Door(s.server.loop(), addresses.apply(edge, number), clock, link,
+                machine.noiseSeed() + edge, (channel, handler) -> channel.pipeline().addLast(
+                    new FlagServerPort(s.server, n, handler, e.servers().idle()))));
+        }
+        s.server.onFall(() -> doorsInBackground(s));
+        stands.add(s);
+        return s;
+    }
+
+    private static void open(Stand s) throws IOException {
+        for (Door d : s.doors) {
+            d.open();
+        }
+    }
+
+    private static void doorsInBackground(Stand s) {
+        // not on the loop that closes them
+        Thread closing = new Thread(() -> s.doors.forEach(Door::close), "doors of " + s.server.machine().id());
+        closing.setDaemon(true);
+        closing.start();
+    }
+
+    private static void run(Stand s, Runnable action) {
+        s.server.loop().submit(action).syncUninterruptibly();
+    }
+
+    /** How many machines there are, those that were replaced included. */
+    public int size() {
+        return stands.size();
+    }
+
+    /** The machine of that number. */
+    public Machine machine(int number) {
+        return stands.get(number).server.machine();
+    }
+
+    /** The link of an edge node to a machine. */
+    public Link link(int edge, int number) {
+        return stands.get(number).links.get(edge);
+    }
+
+    // ---- what befalls them; none of this on an event loop ----
+
+    /** The process dies: its connections are reset, new ones refused, and the list hears of it late. */
+    public void crash(int number) {
+        Stand s = stands.get(number);
+        run(s, () -> s.server.stop("crash"));
+        s.doors.forEach(Door::close);
+        goneUnlessBack(s);
+    }
+
+    private void goneUnlessBack(Stand s) {
+        catalog.whenDeathIsNoticed(() -> {
+            if (s.silent || !s.server.isUp()) {
+                catalog.change(s.server.machine(), "left", Double.NEGATIVE_INFINITY);
+            }
+        });
+    }
+
+    /** The machine vanishes: its connections stay open and silent, and new ones never come up. */
+    public void silence(int number) {
+        Stand s = stands.get(number);
+        s.silent = true;
+        run(s, () -> s.server.stop("silent"));
+        s.links.forEach(l -> l.cut(true, true, true));
+        goneUnlessBack(s);
+    }
+
+    /** Back after a crash or a silence, cold; the list hears of it a little later. */
+    public void restart(int number) throws IOException {
+        Stand s = stands.get(number);
+        if (s.silent) {
+            s.links.forEach(Link::reset);
+            s.links.forEach(l -> l.cut(false, true, true));
+            s.silent = false;
+        }
+        run(s, () -> s.server.start(true));
+        double born = clock.now();
+        for (Door d : s.doors) {
+            d.close();
+            d.open();
+        }
+        catalog.whenAdded(() -> catalog.change(s.server.machine(), "active", born));
+    }
+
+    /** Runs so many times slower; 1 is as it was. */
+    public void slower(int number, double times) {
+        Stand s = stands.get(number);
+        run(s, () -> s.server.slower(times));
+    }
+
+    /** Told to be draining by the list; it turns new work away once a grace has passed. */
+    public void drain(int number) {
+        catalog.change(machine(number), "leaving", Double.NEGATIVE_INFINITY);
+    }
+
+    /** Ends a drained server for good. */
+    public void replaced(int number) {
+        Stand s = stands.get(number);
+        run(s, () -> s.server.stop("replaced"));
+        s.doors.forEach(Door::close);
+        catalog.change(s.server.machine(), "left", Double.NEGATIVE_INFINITY);
+    }
+
+    /** A successor of a machine: a new one, in the same zone, cold. */
+    public int succeed(int number) throws IOException {
+        Stand s = add(machine(number).zone());
+        run(s, () -> s.server.start(true));
+        double born = clock.now();
+        open(s);
+        catalog.whenAdded(() -> catalog.change(s.server.machine(), "active", born));
+        return stands.indexOf(s);
+    }
+
+    /** Restarted by hand while it is out of use: same machine, cold. */
+    public void restartByHand(int number) throws IOException {
+        Stand s = stands.get(number);
+        run(s, () -> s.server.stop("crash"));
+        restart(number);
+    }
+
+    /** Closes all doors. */
+    public void stop() {
+        stands.forEach(s -> {
+            run(s, () -> s.server.stop("end"));
+            s.doors.forEach(Door::close);
+        });
+    }
+}
