--- a/fleet/lab/src/main/java/barleyfall/lab/plan/LoadDraw.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/plan/LoadDraw.java
@@ -21,6 +21,9 @@
     private static final double SPIKE_MOST = 4800;
     private static final double CALM_LEAST = 8000;
     private static final double CALM_MOST = 19_000;
+    /** The part of the time that spikes take, by the four figures above. */
+    private static final double SPIKE_SHARE =
+        (SPIKE_LEAST + SPIKE_MOST) / (SPIKE_LEAST + SPIKE_MOST + CALM_LEAST + CALM_MOST);
     private static final long CUSTOMERS = 1L << 33;
 
     /** How a customer's rate runs: times its base rate, and in spikes (start, end) times more. */
@@ -73,9 +76,11 @@
         } else if (kind < use.full() + use.heavy() + use.spiky()) {
             spike = use.spikyTimes().at(r.nextDouble()) / share;
         }
-        double rate = Math.min(left, share * e.plans().get(plan).rate() / meanUnits);
+        // the mean over calm times and spikes is what it brings
+        double mean = 1 + SPIKE_SHARE * (Math.max(1, spike) - 1);
+        double rate = Math.min(left / mean, share * e.plans().get(plan).rate() / meanUnits);
         play(add(r, plan), new Demand(rate, spike, spike > 1 ? spikes(r) : List.of()), 0, e.length());
-        return rate;
+        return rate * mean;
     }
 
     private Customer add(UniformRandomProvider r, int plan) {
--- a/fleet/lab/src/main/java/barleyfall/lab/run/LabRun.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/run/LabRun.java
@@ -64,6 +64,7 @@
         List<String> unsound = new ArrayList<>();
         Histogram lateness;
         double cpu;
+        double lag;
         try (AddressBlock addresses = AddressBlock.claim()) {
             Parties parties = new Parties(plan, clock, addresses, trace);
             try (Edges edges = new Edges(plan, clock, addresses, parties, project, out, trace)) {
@@ -73,8 +74,10 @@
                 director.schedule();
                 double before = cpuMs();
                 Thread ticker = ticker(clock, e.length());
+                parties.lag.measure(true);
                 parties.front.play();
                 rest(clock, e);
+                parties.lag.measure(false);
                 ticker.interrupt();
                 cpu = cpuMs() - before;
                 unsound.addAll(director.stop());
@@ -82,6 +85,7 @@
                 parties.stop();
             }
             lateness = parties.front.lateness();
+            lag = parties.lag.lateMs(99);
         }
         List<Seen> seen = trace.inOrder();
         Trace.write(out.resolve(TRACE), seen);
@@ -95,9 +99,13 @@
             lateness.getValueAtPercentile(90), lateness.getValueAtPercentile(95),
             lateness.getValueAtPercentile(99),
             lateness.getValueAtPercentile(99.9), lateness.getMaxValue());
+        if (lag > LATE) {
+            unsound.add(String.format("the stand-ins were late: %.1f ms at p99, %.0f allowed", lag, LATE));
+        }
         Map<String, Double> extra = new LinkedHashMap<>();
         extra.put("lab-late-p50-ms", lateness.getValueAtPercentile(50) / 1000.0);
         extra.put("lab-late-p99-ms", late);
+        extra.put("stand-ins-late-p99-ms", lag);
         extra.put("lab-cpu-cores", cpu / (e.length() + LEAD));
         Result result = new Results(plan, seen, violations).sum(seed, project.root().getFileName().toString(),
             unsound, extra);
--- a/fleet/lab/src/main/java/barleyfall/lab/run/Parties.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/run/Parties.java
@@ -4,6 +4,7 @@
 import barleyfall.lab.net.Door;
 import barleyfall.lab.net.LabClock;
 import barleyfall.lab.net.Link;
+import barleyfall.lab.net.LoopLag;
 import barleyfall.lab.net.Way;
 import barleyfall.lab.plan.Plan;
 import barleyfall.lab.process.AddressBlock;
@@ -40,6 +41,7 @@
         t.setDaemon(true);
         return t;
     });
+    final LoopLag lag = new LoopLag();
     final Catalog catalog;
     final FlagFleet servers;
     final CounterStandIn counter;
@@ -52,6 +54,8 @@
 
     Parties(Plan plan, LabClock clock, AddressBlock addresses, Consumer<Seen> trace) throws IOException {
         Experiment e = plan.experiment();
+        lag.watch(loops);
+        lag.watch(frontLoops);
         long seed = plan.streams().of("parties").nextLong();
         catalog = new Catalog(e.discovery(), clock, timers, seed);
         Requests requests = new Requests();
--- a/fleet/lab/src/main/java/barleyfall/lab/standin/FlagFleet.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/standin/FlagFleet.java
@@ -62,7 +62,8 @@
         }
     }
 
-    private Stand add(String zone) {
+    /** One at a time: its number is the place it takes in the list, and with it an address. */
+    private synchronized Stand add(String zone) {
         Experiment e = plan.experiment();
         int number = stands.size();
         Machine machine = plan.machine(number, zone);
--- a/fleet/lab/src/test/java/barleyfall/lab/net/LinkTest.java
+++ b/fleet/lab/src/test/java/barleyfall/lab/net/LinkTest.java
@@ -66,6 +66,29 @@
         return s.getInputStream().read();
     }
 
+    @Test void twoRunsAtOnceShareNoAddress() throws IOException {
+        InetSocketAddress own = addresses.edge(0);
+        try (AddressBlock other = AddressBlock.claim()) {
+            assertTrue(!other.edge(0).equals(own), own.toString());
+        }
+    }
+
+    @Test void anAddressThatIsTakenIsNamed() {
+        Door second = new Door(loops.next(), door.address(), new LabClock(), new Link(new Way(0, 0), new Way(0, 0)),
+            1, (channel, handler) -> { });
+        IOException taken = assertThrows(IOException.class, second::open);
+        assertTrue(taken.getMessage().contains(AddressBlock.text(door.address())), taken.getMessage());
+    }
+
+    @Test void aThrottledWayTakesAsLongAsItsBytes() throws IOException {
+        link.toEdge().throttle(0.01); // 10 bytes a second
+        try (Socket s = connect()) {
+            long began = System.nanoTime();
+            assertEquals('x', echo(s));
+            assertTrue(System.nanoTime() - began >= 160_000_000L);
+        }
+    }
+
     @Test void delaysBothWays() throws IOException {
         try (Socket s = connect()) {
             long began = System.nanoTime();
