--- a/fleet/lab/src/main/java/barleyfall/lab/edge/StandInEdge.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/edge/StandInEdge.java
@@ -53,7 +53,8 @@
         StandInEdge edge = new StandInEdge(fault, config);
         edge.servers.follow();
         String[] listen = config.path("listen").asText().split(":");
-        ServerSocket door = new ServerSocket(Integer.parseInt(listen[1]), 256, InetAddress.getByName(listen[0]));
+        ServerSocket door = new ServerSocket(Integer.parseInt(listen[1]), 256,
+            InetAddress.getByName(listen[0]));
         inBackground(() -> {
             try {
                 while (true) {
--- a/fleet/lab/src/main/java/barleyfall/lab/experiment/Experiment.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/experiment/Experiment.java
@@ -54,10 +54,12 @@
     /**
      * Open-loop load: first tries a second over the whole fleet, by as many customers as it takes. Most use a
      * calm share of their quota; some nearly all, some (heavy) times as much, some (spiky) for a few seconds.
-     * Skew is the exponent of a customer's spread over its edge nodes, which is drawn anew every shift. Ramp: ms in which the rate rises from a tenth.
+     * Skew is the exponent of a customer's spread over its edge nodes, which is drawn anew every shift.
+     * Ramp: ms in which the rate rises from a tenth.
      */
     public record Load(double rate, Use use, double skew, Range shift, int retries, String backoff,
-        double backoffMs, double honour, Range patience, Range noticeDeath, int mostUnits, double swing, double ramp) { }
+        double backoffMs, double honour, Range patience, Range noticeDeath, int mostUnits, double swing,
+        double ramp) { }
 
     /** What part of the customers ask for how much of their quota. */
     public record Use(Range calm, double full, double heavy, Range heavyTimes, double spiky,
--- a/fleet/lab/src/main/java/barleyfall/lab/net/LoopLag.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/net/LoopLag.java
@@ -7,8 +7,8 @@
 import org.HdrHistogram.Histogram;
 
 /**
- * How late the event loops of the stand-ins are: a stand-in that is slower than the edge node before it measures
- * itself. Each loop is asked every 10 ms, and its lateness kept in microseconds.
+ * How late the event loops of the stand-ins are: a stand-in that is slower than the edge node before it
+ * measures itself. Each loop is asked every 10 ms, and its lateness kept in microseconds.
  */
 public final class LoopLag {
     private static final long EVERY = 10_000_000L;
--- a/fleet/lab/src/main/java/barleyfall/lab/process/EdgeProcess.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/process/EdgeProcess.java
@@ -90,7 +90,8 @@
         File log = folder.resolve("log-" + ++starts + ".txt").toFile();
         boolean root0 = "root".equals(System.getProperty("user.name"));
         List<String> command = root0
-            ? List.of("nice", "-n", NICE, "setpriv", "--pdeathsig", "KILL", "--bounding-set", NO_OVERRIDE, "/bin/sh", "-c",
+            ? List.of("nice", "-n", NICE, "setpriv", "--pdeathsig", "KILL", "--bounding-set",
+            NO_OVERRIDE, "/bin/sh", "-c",
             shell())
             : List.of("nice", "-n", NICE, "setpriv", "--pdeathsig", "KILL", "/bin/sh", "-c", shell());
         ProcessBuilder builder = new ProcessBuilder(command).directory(this.root.toFile())
--- a/fleet/lab/src/main/java/barleyfall/lab/result/Outcomes.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/result/Outcomes.java
@@ -123,9 +123,9 @@
     }
 
     /**
-     * Worth earned over worth asked for, 1 at most; NaN where nothing was asked. Asked for is what one gateway
-     * that saw all first tries would let in; earned by what was inside the quota when it was sent on, whichever
-     * of a customer's wishes that was.
+     * Worth earned over worth asked for, 1 at most; NaN where nothing was asked. Asked for is what one
+     * gateway that saw all first tries would let in; earned by what was inside the quota when it was sent
+     * on, whichever of a customer's wishes that was.
      */
     double service(double from, double to) {
         double offered = 0;
--- a/fleet/lab/src/main/java/barleyfall/lab/run/Rehearsal.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/run/Rehearsal.java
@@ -16,8 +16,8 @@
 import java.util.concurrent.TimeoutException;
 
 /**
- * Runs the lab's own code before a run, against an edge node in this process: compiled only while the load goes
- * out, it sends the first seconds of it tens of ms late.
+ * Runs the lab's own code before a run, against an edge node in this process: compiled only while the load
+ * goes out, it sends the first seconds of it tens of ms late.
  */
 final class Rehearsal {
     private static final String DAY = """
--- a/fleet/lab/src/test/java/barleyfall/lab/net/LinkTest.java
+++ b/fleet/lab/src/test/java/barleyfall/lab/net/LinkTest.java
@@ -74,7 +74,8 @@
     }
 
     @Test void anAddressThatIsTakenIsNamed() {
-        Door second = new Door(loops.next(), door.address(), new LabClock(), new Link(new Way(0, 0), new Way(0, 0)),
+        Door second = new Door(loops.next(), door.address(), new LabClock(), new Link(new Way(0, 0),
+            new Way(0, 0)),
             1, (channel, handler) -> { });
         IOException taken = assertThrows(IOException.class, second::open);
         assertTrue(taken.getMessage().contains(AddressBlock.text(door.address())), taken.getMessage());
--- a/fleet/lab/src/test/java/barleyfall/lab/result/FiguresTest.java
+++ b/fleet/lab/src/test/java/barleyfall/lab/result/FiguresTest.java
@@ -14,7 +14,9 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
-/** Figures and rules on traces written by hand: ten wishes a second, of one customer each, inside its quota. */
+/**
+ * Figures and rules on traces written by hand: ten wishes a second, of one customer each, inside its quota.
+ */
 class FiguresTest {
     private static final int READ = 0;
     private static final int ONCE = 2;
