Take out of the lab what nothing used, and say what a draining server does

Need: FlagServer.drain, DiskDamage.mend, Link.connections and DatagramLink.link were called by nothing, and the page of FlagFleet.drain promised more than it did.

--- a/fleet/lab/src/main/java/barleyfall/lab/net/DatagramLink.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/net/DatagramLink.java
@@ -20,7 +20,6 @@
     private static final double NANOS = 1e6;
 
     private final EventLoop loop;
-    private final Link link;
     private final SplittableRandom random;
     private final Channel bAsSeenByA;
     private final Channel aAsSeenByB;
@@ -32,7 +31,6 @@
     public DatagramLink(EventLoop loop, Link link, InetSocketAddress a, InetSocketAddress b,
         InetSocketAddress bAsSeenByA, InetSocketAddress aAsSeenByB, long seed) {
         this.loop = loop;
-        this.link = link;
         random = new SplittableRandom(seed);
         this.bAsSeenByA = open(bAsSeenByA, link.toParty(), b, true);
         this.aAsSeenByB = open(aAsSeenByB, link.toEdge(), a, false);
@@ -54,11 +52,6 @@
             }).bind(at).syncUninterruptibly().channel();
     }
 
-    /** The link whose ways the datagrams take. */
-    public Link link() {
-        return link;
-    }
-
     @Override public void close() {
         bAsSeenByA.close().syncUninterruptibly();
         aAsSeenByB.close().syncUninterruptibly();
--- a/fleet/lab/src/main/java/barleyfall/lab/net/Link.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/net/Link.java
@@ -61,9 +61,4 @@
     public void reset() {
         open.forEach(LinkHandler::reset);
     }
-
-    /** How many connections are open. */
-    public int connections() {
-        return open.size();
-    }
 }
--- a/fleet/lab/src/main/java/barleyfall/lab/run/DiskDamage.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/run/DiskDamage.java
@@ -14,7 +14,6 @@
 /** What can happen to the files of a process that has been killed, before it starts again. */
 final class DiskDamage {
     private static final String READ_ONLY = "r-xr-xr-x";
-    private static final String WRITABLE = "rwxr-xr-x";
 
     private DiskDamage() { }
 
@@ -35,11 +34,6 @@
         }
     }
 
-    /** Takes back what outlasts a start: a folder that cannot be written. */
-    static void mend(Path folder) throws IOException {
-        Files.setPosixFilePermissions(folder, PosixFilePermissions.fromString(WRITABLE));
-    }
-
     private static String one(Path file, String how, UniformRandomProvider random) {
         try (RandomAccessFile f = new RandomAccessFile(file.toFile(), "rw")) {
             long length = f.length();
--- a/fleet/lab/src/main/java/barleyfall/lab/standin/FlagFleet.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/standin/FlagFleet.java
@@ -165,7 +165,7 @@
         run(s, () -> s.server.slower(times));
     }
 
-    /** Told to be draining by the list; it turns new work away once a grace has passed. */
+    /** The list tells that it drains; what is sent to it all the same is served until it is replaced. */
     public void drain(int number) {
         catalog.change(machine(number), "leaving", Double.NEGATIVE_INFINITY);
     }
--- a/fleet/lab/src/main/java/barleyfall/lab/standin/FlagServer.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/standin/FlagServer.java
@@ -55,7 +55,6 @@
     private double startedAt = Double.NEGATIVE_INFINITY;
     private double slower = 1;
     private boolean up;
-    private boolean draining;
     private int connections;
     private long order;
     private double sentSum;
@@ -91,7 +90,6 @@
     void start(boolean cold) {
         double now = clock.now();
         up = true;
-        draining = false;
         startedAt = cold ? now : Double.NEGATIVE_INFINITY;
         sent.clear();
         sentSum = 0;
@@ -118,11 +116,6 @@
         return up;
     }
 
-    /** Turns new work away from here on. */
-    void drain() {
-        draining = true;
-    }
-
     /** How many times slower than it should be. */
     void slower(double times) {
         settle();
@@ -180,7 +173,7 @@
         Experiment.RequestClass type = classes.get(what.arrival().type());
         double costs = what.key() != null && requests.repeats(what.key(), now, type.window()) ? DROPPED
             : work;
-        if (draining || !processor.add(job, costs)) {
+        if (!processor.add(job, costs)) {
             end(job, "busy", null);
         }
         arm();
