--- a/fleet/lab/src/main/java/barleyfall/lab/plan/Plan.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/plan/Plan.java
@@ -17,12 +17,14 @@
     private final Streams streams;
     private final List<Customer> customers;
     private final List<Arrival> arrivals;
+    private final String hash;
 
     private Plan(Experiment experiment, Streams streams, List<Customer> customers, List<Arrival> arrivals) {
         this.experiment = experiment;
         this.streams = streams;
         this.customers = customers;
         this.arrivals = arrivals;
+        hash = digest(); // with the drawing: it takes seconds with a large load, and a run has none to spare
     }
 
     /** Draws all of it. */
@@ -101,8 +103,12 @@
         };
     }
 
-    /** Hex digits that differ where anything drawn differs; to be asked for while nothing waits for it. */
+    /** Hex digits that differ where anything drawn differs. */
     public String hash() {
+        return hash;
+    }
+
+    private String digest() {
         MessageDigest digest = Streams.sha256();
         customers.forEach(c -> add(digest, c.toString()));
         arrivals.forEach(a -> {
--- a/fleet/lab/src/main/java/barleyfall/lab/rules/History.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/rules/History.java
@@ -9,6 +9,9 @@
 
 /** The trace sorted by request and by edge node. */
 final class History {
+    /** What comes later than this (ms) after a SIGTERM is owed an answer, whatever ends the process then. */
+    private static final double AFTER_TERM = 700;
+
     /** What was seen of one request. */
     static final class Request {
         final List<Seen.Asked> asked = new ArrayList<>();
@@ -113,6 +116,4 @@
         }
         return since <= to;
     }
-
-    private static final double AFTER_TERM = 700;
 }
--- a/fleet/lab/src/main/java/barleyfall/lab/run/LabRun.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/run/LabRun.java
@@ -37,7 +37,6 @@
     private static final double TAIL = 1000;
 
     private final Plan plan;
-    private final String hash;
     private final long seed;
     private final Project project;
     private final Path out;
@@ -46,7 +45,6 @@
     /** Out: the folder for all that the run writes; it is made. */
     public LabRun(Experiment experiment, long seed, Project project, Path out, Consumer<String> progress) {
         plan = Plan.draw(experiment, seed);
-        hash = plan.hash(); // now, as it takes seconds with a large load
         this.seed = seed;
         this.project = StandIns.project(experiment, project);
         this.out = out;
@@ -137,7 +135,7 @@
         t.setDaemon(true);
         t.start();
         LOG.info("load begins: {} first tries over {} s, plan {}", plan.arrivals().size(), length / 1000,
-            hash);
+            plan.hash());
         return t;
     }
 
