Give each node a small even subset of the servers, and connect only when needed

Need: each of a hundred nodes spread its few requests over nearly all servers and connected ahead to every listed one.

Change: Subset.java (a policy file) computes each gateway's own servers and their parts from its number, the number of gateways and the list. The module takes them in turn, and others of the reserve for 8 s where its own are ill, full or cold. A cold server gets requests only from the gateways whose own it is, by their parts. No connection is made ahead. The age of a process is the JVM's uptime, on one clock.

NodeTest took the connection made ahead in its start; its tests now take the first connection where they first need it. aLongValueIsPassedOnAsItComes wrote 4 MB before its client read: a new connection's sockets do not hold that, so the server writes beside the reading now.

--- a/src/main/java/willowyoke/Decide.java
+++ b/src/main/java/willowyoke/Decide.java
@@ -3,6 +3,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.*;
+import java.util.function.Predicate;
 
 /** Every decision of one gateway. The same events give the same actions; all chance comes from one seed. */
 public final class Decide implements Gateway.Events {
@@ -43,6 +44,12 @@
     private static final double OPEN_EPOCH = 16 * SUBPERIOD;
     /** Clients turn away from a dropped class later than it is dropped here (ms). */
     private static final double DROPPED = 5000;
+    /** A server of the reserve stays in use for so long (ms): about as long as what made it needed is believed. */
+    private static final double WIDENED = 2 * FORGET;
+    /** So many tries of a request go to this gateway's own servers: what fails these may have hit all of them. */
+    private static final int OWN_TRIES = 2;
+    /** A server whose turn is one round further off is taken only where it is so much better than the others. */
+    private static final double TURN = 0.3;
     /** A retry that finds no server looks again after this (ms): a few of the shortest ticks. */
     private static final double LOOK_AGAIN = 25;
 
@@ -65,6 +72,8 @@
     private double armed = Double.MAX_VALUE, warmRate, meanAim, longestAim, sentWarm;
     private double counterSilentUntil, usuallyInside = 1, silentSince;
     private int misses, up;
+    private List<Host> split = List.of();
+    private Gateway.Settings splitFor;
     private long edges;
     private double paceRate, paceCredit, pacedAt, paceWake, askRate, askedInPeriod;
     private final Set<Customer> active = new LinkedHashSet<>();
@@ -164,10 +173,13 @@
         double lastSent, fails, ejectedUntil, ejections;
         boolean trial, wasDead;
         double coldFrom = Double.NEGATIVE_INFINITY, coldCredit, coldAt;
+        double part, turn, usedUntil; // share of what is sent here, by the subset; next turn; a reserve until then
+        final long rank;
         final Map<String, double[]> failing = new HashMap<>(); // by class: share that fails, when
 
-        Host(String id) {
+        Host(String id, int me) {
             this.id = id;
+            rank = Subset.rank(me, Subset.key(id));
         }
     }
 
@@ -215,6 +227,7 @@
     @Override public void settings(double time, Gateway.Settings settings) {
         begin(time);
         take(settings);
+        countUp();
         pump();
     }
 
@@ -226,7 +239,7 @@
             }
         }
         for (Gateway.Server s : list) {
-            Host h = hosts.computeIfAbsent(s.id(), Host::new);
+            Host h = hosts.computeIfAbsent(s.id(), id -> new Host(id, set.me()));
             h.listed = s.state() != Gateway.State.GONE;
             h.up = s.state() == Gateway.State.UP;
             boolean restarted = h.told != null && s.startedAt() > h.told.startedAt();
@@ -239,21 +252,36 @@
             }
         }
         countUp();
-        if (edges < 4 && up > 0) { // at first two out at each server, of all gateways together
-            paceRate = Math.max(paceRate, 2000.0 * up / set.nodes() / (meanAim / 8));
+        if (edges < 4 && up > 0) {
+            paceRate = Math.max(paceRate, firstPace());
             paceCredit = Math.max(2, paceRate * SUBPERIOD / 1000);
         }
         pump();
     }
 
+    /** The servers in use have changed, or may have: the parts follow, and what is new takes its turn last. */
     private void countUp() {
-        up = (int) hosts.values().stream().filter(h -> h.up && !h.detached).count();
+        List<Host> used = hosts.values().stream().filter(h -> h.up && !h.detached).toList();
+        up = used.size();
+        if (used.equals(split) && splitFor == set) {
+            return;
+        }
+        split = used;
+        splitFor = set;
+        Map<String, Double> parts = Subset.of(set.me(), set.nodes(), used.stream().map(h -> h.id).toList(),
+            used.stream().mapToDouble(h -> h.told.weight()).toArray());
+        double last = hosts.values().stream().mapToDouble(h -> h.turn).max().orElse(0);
+        for (Host h : hosts.values()) {
+            double part = parts.getOrDefault(h.id, 0.0);
+            h.turn = part > 0 && h.part == 0 ? last + random.nextDouble() : h.turn;
+            h.part = part;
+        }
     }
 
     @Override public void detached(double time, Set<String> servers) {
         begin(time);
         for (String id : servers) {
-            Host h = hosts.computeIfAbsent(id, Host::new);
+            Host h = hosts.computeIfAbsent(id, name -> new Host(name, set.me()));
             h.detachedAt = h.detached ? h.detachedAt : now;
             h.detached = true;
         }
@@ -472,7 +500,7 @@
 
     private void onEdge() {
         at(Kind.EDGE, nextEdge(), null);
-        long warm = hosts.values().stream().filter(h -> h.up && !h.detached && warmth(h) >= 1).count();
+        double warm = split.stream().filter(h -> warmth(h) >= 1).mapToDouble(h -> h.part).sum();
         if (warm > 0) {
             warmRate += (sentWarm * 1000 / SUBPERIOD / warm - warmRate) * FAST;
         }
@@ -523,11 +551,11 @@
 
     /** A name on the counter, of a customer and an epoch. */
     private static long name(Customer c, long epoch) {
-        return mix(c.key + 2 * epoch) >>> 1;
+        return Subset.mix(c.key + 2 * epoch) >>> 1;
     }
 
     private static long slotName(Customer c, long epoch) {
-        return mix(c.key + 2 * epoch + 1) >>> 1;
+        return Subset.mix(c.key + 2 * epoch + 1) >>> 1;
     }
 
     /**
@@ -743,27 +771,67 @@
         return paceCredit >= 1;
     }
 
+    /** The pace (1/s) with two out at each server, of all gateways together, at the time an answer takes at first. */
+    private double firstPace() {
+        return 2000.0 * up / set.nodes() / (meanAim / 8);
+    }
+
     /** A gateway with few answers takes larger steps, so that all are as quick down and up again. */
     private void pace(boolean late) {
         double step = Math.max(PACE_STEP, Math.min(0.25, 1 / Math.max(1, askRate)));
         paceRate = late ? paceRate * Math.pow(1 - step, 3) : paceRate + step * askRate;
-        double most = edges < 4 ? paceRate : Math.max(1, 2 * askRate);
+        double most = edges < 4 ? paceRate : Math.max(firstPace(), 2 * askRate); // idle time is no reason to wait
         paceRate = Math.max(Math.max(0.1, askRate / 8), Math.min(paceRate, most));
     }
 
     // ---- server choice and health ----
 
-    /** The server with the least (requests out + 1) x slowness, of those that may get this request. */
+    /**
+     * One of this gateway's own servers; where none may get it, or two have failed it, one of the reserve: of
+     * those that joined for a while, or the next in this gateway's order.
+     */
     private Host choose(Req r) {
+        if (r.attempts.size() < OWN_TRIES) {
+            Host own = least(r, h -> h.part > 0 || now < h.usedUntil);
+            return own != null ? own : next(r);
+        }
+        Host joined = least(r, h -> h.part == 0 && now < h.usedUntil && !been(r, h));
+        Host other = joined != null ? joined : next(r);
+        return other != null ? other : least(r, h -> h.part > 0 || now < h.usedUntil);
+    }
+
+    /** The reserve is in the order of its ranks here, another one at each gateway. */
+    private Host next(Req r) {
+        Host best = null;
+        for (Host h : split) {
+            if (h.part == 0 && now >= h.usedUntil && warmth(h) >= 1 && (best == null || h.rank > best.rank)
+                && mayGet(r, h) && room(h)) {
+                best = h;
+            }
+        }
+        if (best != null) {
+            best.usedUntil = now + WIDENED;
+            best.turn = split.stream().filter(h -> h.part > 0).mapToDouble(h -> h.turn).min().orElse(0);
+        }
+        return best;
+    }
+
+    private static boolean been(Req r, Host h) {
+        return r.attempts.stream().anyMatch(a -> a.host == h);
+    }
+
+    /** The server with the least (requests out + 1) x slowness, of those that may get this request. */
+    private Host least(Req r, Predicate<Host> used) {
         Host best = null;
         double bestScore = 0;
-        for (Host h : hosts.values()) {
-            if (!mayGet(r, h) || !room(h)) {
+        double first = split.stream().filter(used).mapToDouble(h -> h.turn).min().orElse(0);
+        for (Host h : split) {
+            if (!used.test(h) || !mayGet(r, h) || !room(h)) {
                 continue;
             }
             double score = (h.out.size() + 1) * slowness(h) / Math.sqrt(warmth(h));
-            boolean been = r.attempts.stream().anyMatch(a -> a.host == h);
-            score *= (1 + 0.1 * random.nextDouble()) * (1 + 8 * failing(h, r.type)) * (been ? 8 : 1);
+            score *= (1 + TURN * Math.min(h.turn - first, 2 / TURN)) * (1 + 8 * failing(h, r.type))
+                * (been(r, h) ? 8 : 1);
             if (best == null || score < bestScore) {
                 best = h;
                 bestScore = score;
@@ -862,6 +930,11 @@
         }
     }
 
+    /** How many servers are this gateway's own. */
+    private long own() {
+        return split.stream().filter(h -> h.part > 0).count();
+    }
+
     // ---- attempts: sends, retries ----
 
     private void send(Req r, Host h) {
@@ -873,6 +946,7 @@
         h.coldCredit -= 1;
         h.lastSent = now;
         sentWarm += warmth(h) >= 1 ? 1 : 0;
+        h.turn += h.part > 0 ? 1 / (h.part * own()) : 1;
         paceCredit--;
         at(Kind.LATE, now + r.type.told.aim() / 2, r);
         act.send(r.told.id(), h.id, 0);
@@ -938,7 +1012,7 @@
      */
     private double coldBudget(Host h) {
         double most = Math.max(1, set.rules().overloadFactor() / 2);
-        double rate = warmRate / 1000 * warmth(h) * most;
+        double rate = h.part * warmRate / 1000 * warmth(h) * most;
         h.coldCredit = Math.min(Math.max(1, rate * set.rules().overloadFor()),
             h.coldCredit + rate * (now - h.coldAt));
         h.coldAt = now;
@@ -1039,10 +1113,4 @@
             }
         }
     }
-
-    private static long mix(long z) {
-        z = (z ^ (z >>> 30)) * 0xbf58476d1ce4e5b9L;
-        z = (z ^ (z >>> 27)) * 0x94d049bb133111ebL;
-        return z ^ (z >>> 31);
-    }
 }
--- a/src/main/java/willowyoke/Main.java
+++ b/src/main/java/willowyoke/Main.java
@@ -4,9 +4,8 @@
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.io.PrintStream;
+import java.lang.management.ManagementFactory;
 import java.nio.charset.StandardCharsets;
-import java.time.Duration;
-import java.time.Instant;
 import willowyoke.net.Config;
 import willowyoke.net.Node;
 import willowyoke.net.Warmup;
@@ -65,9 +64,11 @@
         Runtime.getRuntime().addShutdownHook(new Thread(node::drain, "drain"));
     }
 
-    /** How long this process has been there (ms), the start of its JVM included. */
+    /**
+     * How long this process has been there (ms), the start of its JVM included: both ends by the JVM's own clock,
+     * as the system's process table may go by another one.
+     */
     private static long age() {
-        return ProcessHandle.current().info().startInstant()
-            .map(at -> Duration.between(at, Instant.now()).toMillis()).orElse(0L);
+        return Math.max(0, ManagementFactory.getRuntimeMXBean().getUptime());
     }
 }
--- a/src/main/java/willowyoke/net/Node.java
+++ b/src/main/java/willowyoke/net/Node.java
@@ -138,7 +138,7 @@
     // ---- life ----
 
     /**
-     * Comes up, and listens only once it is ready: a front takes in what answers. Lists and connections that
+     * Comes up, and listens only once it is ready: a front takes in what answers. Lists that
      * are not there within so many milliseconds are not waited for.
      */
     public void start(long within) throws IOException {
@@ -154,14 +154,14 @@
             discovery.start(config.known());
             counter.start();
             servers.start();
-            CompletableFuture.allOf(discovery.ready(), servers.ready(), counter.ready())
+            CompletableFuture.allOf(discovery.ready(), counter.ready())
                 .thenRun(() -> ready.complete(null));
         });
         try {
             ready.get(within, TimeUnit.MILLISECONDS);
         } catch (TimeoutException e) {
             System.err.println("ready with what there is: discovery " + discovery.ready().isDone()
-                + ", servers " + servers.ready().isDone() + ", counter " + counter.ready().isDone());
+                + ", counter " + counter.ready().isDone());
         } catch (java.util.concurrent.ExecutionException e) {
             throw new IOException(e);
         } catch (InterruptedException e) {
--- a/src/main/java/willowyoke/net/ServerPool.java
+++ b/src/main/java/willowyoke/net/ServerPool.java
@@ -27,7 +27,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.CompletableFuture;
 import willowyoke.Gateway;
 
 /**
@@ -87,7 +86,6 @@
     private final Config config;
     private final int most;
     private final Map<String, Target> targets = new HashMap<>();
-    private final CompletableFuture<Void> ready = new CompletableFuture<>();
     private Set<String> detached = Set.of();
     private int open;
 
@@ -102,11 +100,6 @@
                 new AdaptiveRecvByteBufAllocator(512, 2048, READ_AT_ONCE));
     }
 
-    /** Done when every server of the first list has had its connection come up or fail. */
-    CompletableFuture<Void> ready() {
-        return ready;
-    }
-
     // ---- the list ----
 
     void listed(List<Discovery.Member> members, boolean whole) {
@@ -135,7 +128,6 @@
             t.listedUp = m.server().state() == Gateway.State.UP;
             use(id, t);
         }
-        isReady();
     }
 
     /** The servers that are out by hand, all of them: for these the same holds as for those that drain. */
@@ -147,9 +139,7 @@
     private void use(String id, Target t) {
         t.up = t.listedUp && !detached.contains(id);
         if (!t.up) {
-            leave(t);
-        } else if (t.links.isEmpty() && t.connecting == 0) {
-            connect(t); // so that the first request need not wait for one
+            leave(t); // none is made ahead: a handshake has its price, and most nodes never use most servers
         }
     }
 
@@ -187,13 +177,6 @@
         }
     }
 
-    private void isReady() {
-        if (!ready.isDone() && !targets.isEmpty()
-            && targets.values().stream().allMatch(t -> t.connecting == 0)) {
-            ready.complete(null);
-        }
-    }
-
     // ---- attempts ----
 
     void send(Attempt a) {
@@ -295,8 +278,7 @@
                 t.links.add(link);
                 link.free();
             }
-            isReady();
-            node.flush();
+                node.flush();
         });
     }
 
--- /dev/null
+++ b/src/test/java/willowyoke/FleetTest.java
@@ -0,0 +1,103 @@
+package willowyoke;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** One gateway of a hundred, which sees few of the requests of each server. */
+class FleetTest {
+    private static Bench one(int me) {
+        Bench b = Bench.plain();
+        b.nodes = 100;
+        b.me = me;
+        return b.start();
+    }
+
+    /** The servers that so many requests went to first, 300 ms apart, each answered after 20 ms. */
+    private static List<String> use(Bench b, int from, int requests, Set<String> down) {
+        List<String> used = new ArrayList<>();
+        for (int i = from; i < from + requests; i++) {
+            b.arrive(i, "read", "big", "c", 1, 1);
+            for (int k = 0; b.count("send " + i + " ") == k + 1; k++) {
+                String server = b.sentTo(i);
+                used.add(server);
+                b.to(b.now + 20);
+                b.end(i, k, down.contains(server) ? Gateway.Outcome.NO_CONNECTION : Gateway.Outcome.OK);
+            }
+            b.to(b.now + 280);
+        }
+        return used;
+    }
+
+    @Test void aGatewayUsesAFewServersInTurn() {
+        Set<String> all = new HashSet<>();
+        for (int me = 0; me < 100; me++) {
+            List<String> used = use(one(me).servers(60), 0, 60, Set.of());
+            Set<String> own = new HashSet<>(used);
+            assertTrue(own.size() >= Subset.OF_GATEWAY && own.size() <= 12, me + " uses " + own);
+            all.addAll(own);
+        }
+        assertEquals(60, all.size(), "together they use every server");
+    }
+
+    /** All of a gateway's own servers die: it serves by others at once, and goes back when they are there. */
+    @Test void theReserveComesInWhereItsOwnAreIllAndLeavesAgain() {
+        Bench b = one(7).servers(60);
+        Set<String> own = new HashSet<>(use(b, 0, 60, Set.of()));
+        long before = b.count("refuse") + b.count("fail");
+        use(b, 100, 60, own);
+        assertEquals(before, b.count("refuse") + b.count("fail"), "every request is served elsewhere");
+        use(b, 200, 60, Set.of());
+        List<String> later = use(b, 300, 40, Set.of());
+        assertTrue(own.containsAll(later), "its own " + own + ", used " + new HashSet<>(later));
+    }
+
+    /** All of its own were replaced and are cold: it still serves, by the warm ones of the reserve. */
+    @Test void aGatewayWhoseOwnServersAreAllColdServes() {
+        Bench b = one(7).servers(60);
+        Set<String> own = new HashSet<>(use(b, 0, 60, Set.of()));
+        List<Gateway.Server> restarted = new ArrayList<>();
+        own.forEach(id -> restarted.add(
+            Bench.server(Integer.parseInt(id.substring(1)), Gateway.State.UP, b.now)));
+        b.module.servers(b.now, restarted, false);
+        List<String> used = use(b, 100, 40, Set.of());
+        assertEquals(0, b.count("refuse") + b.count("fail"));
+        long cold = used.stream().filter(own::contains).count();
+        assertTrue(cold > 0 && cold < 30, "to cold servers, of 40: " + cold);
+    }
+
+    /** Few requests for a while are no reason to hold back the next ones. */
+    @Test void aGatewayThatWasIdleSendsItsNextRequestsOn() {
+        Bench b = Bench.plain().start().servers(8);
+        b.to(5000);
+        for (int i = 0; i < 20; i++) {
+            b.arrive(i, "read", "big", "c");
+            b.to(b.now + 10);
+            b.answerSent();
+        }
+        assertEquals(20, b.count("send"));
+    }
+
+    /** Lists as they should not be: one id twice, shares of 0, and none left. */
+    @Test void oddListsAreTaken() {
+        Bench b = one(7);
+        List<Gateway.Server> list = new ArrayList<>();
+        for (int i = 0; i < 20; i++) {
+            Gateway.Server s = Bench.server(i % 10, Gateway.State.UP, 0);
+            list.add(new Gateway.Server(s.id(), s.cell(), s.zone(), s.state(), s.kind(), 0, i % 10 == 0 ? 0 : 1));
+        }
+        b.module.servers(0, list, true);
+        List<String> used = use(b, 0, 60, Set.of());
+        assertEquals(60, used.size());
+        assertTrue(!used.contains("s0"), "a share of 0");
+        b.module.servers(b.now, List.of(), true);
+        b.arrive(100, "read", "big", "c");
+        b.module.servers(b.now, List.of(list.get(0)), true);
+        assertEquals("s0", b.sentTo(100), "the only one left");
+    }
+}
--- a/src/test/java/willowyoke/net/NodeTest.java
+++ b/src/test/java/willowyoke/net/NodeTest.java
@@ -184,7 +184,14 @@
 
     private void start() throws Exception {
         start("whole s0 UP");
-        server = app.accept(); // the connection made ahead
+    }
+
+    /** The first connection to the app server, made when the first request needs it. */
+    private Peer.Line server() throws Exception {
+        if (server == null) {
+            server = app.accept();
+        }
+        return server;
     }
 
     private void start(String... first) throws Exception {
@@ -261,13 +268,13 @@
         client.command("CALL.POST", CUSTOMER, "9b1f",
             "c=read,t=p,d=900,k=5c0f,units=2,spread=3,first=1,r=1", body);
         expect("arrived 1 read p " + CUSTOMER + " 2 3 1 true");
-        List<String> sent = server.message();
+        List<String> sent = server().message();
         assertEquals(List.of("CALL.POST", CUSTOMER, "9b1f"), sent.subList(0, 3));
         assertTrue(sent.get(3).matches("c=read,t=p,d=(8[0-9][0-9]),k=5c0f,units=2,spread=3,first=1,r=1"),
             sent.get(3));
         assertEquals(body, sent.get(4));
         String value = "\r\n$5".repeat(13_000);
-        server.value(value);
+        server().value(value);
         assertEquals(List.of(value), client.message());
         expect("ended 1 0 OK true");
     }
@@ -277,13 +284,13 @@
         start();
         Peer.Line client = client();
         get(client, "01", "read", 900);
-        assertEquals("01", server.message().get(2));
+        assertEquals("01", server().message().get(2));
         get(client, "02", "refuse", 900);
         get(client, "03", "read", 900);
         Peer.Line second = app.accept(); // one request a connection at a time
         assertEquals("03", second.message().get(2));
         second.value("three");
-        server.value("one");
+        server().value("one");
         assertEquals(List.of("one"), client.message());
         assertEquals(List.of("-BUSY 1500"), client.message());
         assertEquals(List.of("three"), client.message());
@@ -339,11 +346,11 @@
         Peer.Line client = client();
         get(client, "01", "read", 300);
         arrived(1, "read");
-        server.message();
+        server().message();
         client.close();
         expect("gone 1");
         expect("ended 1 0 TIMEOUT true");
-        assertTrue(server.ended());
+        assertTrue(server().ended());
     }
 
     /** The protocol's table of outcomes; a break after the last byte may have run, one before has not. */
@@ -356,15 +363,15 @@
         for (String[] each : cases) {
             get(client, "0" + ++id, "read", 900);
             arrived(id, "read");
-            server.message();
-            server.write(each[0]);
+            server().message();
+            server().write(each[0]);
             expect("ended " + id + " 0 " + each[1] + " false");
             assertEquals(List.of("-ERR failed"), client.message());
         }
         get(client, "05", "read", 900);
         arrived(5, "read");
-        server.message();
-        server.close();
+        server().message();
+        server().close();
         expect("ended 5 0 RESET false");
         app.close();
         get(client, "06", "read", 900);
@@ -376,8 +383,8 @@
     @Test void anAnswerThatCannotBeReadIsAnError() throws Exception {
         start();
         Peer.Line client = client();
-        Peer.Line line = server;
         int id = 0;
+        Peer.Line line = nextServerLine(client, ++id);
         for (String broken : new String[] {"*3\r\n$-7\r\n$1\r\nx\r\n", "x\r\n*3\r\n$1\r\nx\r\n$-1\r\n$-1\r\n",
             "*3\r\n$2\r\nabcdef\r\n$-1\r\n$-1\r\n", "*17\r\n", "*2\r\n*1\r\n$70000\r\n"}) {
             get(client, "0" + ++id, "read", 20_000);
@@ -407,8 +414,8 @@
     @Test void whatComesBehindAnAnswerEndsTheConnection() throws Exception {
         start();
         Peer.Line client = client();
-        Peer.Line line = server;
         int id = 0;
+        Peer.Line line = nextServerLine(client, ++id);
         for (String behind : new String[] {"*3\r\n$5\r\nwrong\r\n$-1\r\n$-1\r\n", "*3\r\n$5\r\nwro", "*3\r\n",
             "*"}) {
             get(client, "0" + ++id, "read", 20_000);
@@ -428,10 +435,10 @@
         Peer.Line client = client();
         get(client, "01", "read", 200);
         arrived(1, "read");
-        server.message();
+        server().message();
         expect("ended 1 0 TIMEOUT false");
         assertEquals(List.of("-ERR failed"), client.message());
-        assertTrue(server.ended());
+        assertTrue(server().ended());
         get(client, "02", "cancel", 900);
         arrived(2, "cancel");
         Peer.Line second = app.accept();
@@ -463,7 +470,7 @@
         Peer.Line client = client();
         get(client, "01", "cancel", 2500);
         arrived(1, "cancel");
-        server.message();
+        server().message();
         expect("ended 1 0 CANCELLED false");
         assertEquals(List.of("-ERR failed"), client.message());
     }
@@ -471,9 +478,9 @@
     @Test void anIdleConnectionIsRetiredBeforeTheServerEndsIt() throws Exception {
         keepAlive = 1000;
         start();
-        assertTrue(server.ended());
         Peer.Line client = client();
-        get(client, "01", "read", 900);
+        assertTrue(nextServerLine(client, 1).ended());
+        get(client, "02", "read", 900);
         Peer.Line second = app.accept();
         second.message();
         second.value("v");
@@ -485,8 +492,8 @@
         Peer.Line client = client();
         get(client, "01", "probe", 900);
         arrived(1, "probe");
-        assertEquals(List.of("INFO", "load"), server.message());
-        server.write("$26\r\ninflight=7,x=1,util=0.6100\r\n");
+        assertEquals(List.of("INFO", "load"), server().message());
+        server().write("$26\r\ninflight=7,x=1,util=0.6100\r\n");
         expect("probed s0 OK [0.61, 7.0]");
     }
 
@@ -613,24 +620,25 @@
 
     @Test void theWatchTellsDrainsMovesAndLeavers() throws Exception {
         start();
+        Peer.Line client = client();
+        Peer.Line idle = nextServerLine(client, 1);
         push(list(42, false, entry("s0", app.address(), "leaving")));
         expect("changes s0 DRAINING");
-        assertTrue(server.ended()); // idle connections go with it
+        assertTrue(idle.ended());
         try (Peer moved = new Peer()) {
             push(list(43, false, entry("s0", moved.address(), "active")));
             expect("changes s0 UP");
-            Peer.Line client = client();
-            get(client, "01", "read", 900);
-            arrived(1, "read");
+            get(client, "02", "read", 900);
+            arrived(2, "read");
             Peer.Line line = moved.accept();
-            assertEquals("01", line.message().get(2));
+            assertEquals("02", line.message().get(2));
             line.value("v");
-            expect("ended 1 0 OK true");
+            expect("ended 2 0 OK true");
             push(list(44, false, entry("s0", moved.address(), "left")));
             expect("changes s0 GONE");
-            get(client, "02", "read", 900);
-            arrived(2, "read");
-            expect("ended 2 0 NO_CONNECTION false");
+            get(client, "03", "read", 900);
+            arrived(3, "read");
+            expect("ended 3 0 NO_CONNECTION false");
             push(list(45, true, entry("s1", app.address(), "active")));
             expect("whole s1 UP");
         }
@@ -698,23 +706,23 @@
     @Test void aServerIsTakenOutAndPutBackByHand() throws Exception {
         environment = Map.of("TMPDIR", folder.toString());
         start();
+        Peer.Line client = client();
+        Peer.Line idle = nextServerLine(client, 1);
         assertEquals(List.of("SUCCESS"), call("DETACH s0\n"));
         expect("detached [s0]");
-        assertTrue(server.ended());
+        assertTrue(idle.ended());
         assertEquals(List.of("SUCCESS"), call("DETACH s0\n"));
         expect("detached [s0]");
-        Peer.Line client = client();
-        get(client, "01", "read", 900);
-        arrived(1, "read");
-        expect("ended 1 0 NO_CONNECTION false");
-        push(list(42, false, entry("s0", app.address(), "active"))); // whatever discovery says
-        expect("changes s0 UP");
         get(client, "02", "read", 900);
         arrived(2, "read");
         expect("ended 2 0 NO_CONNECTION false");
+        push(list(42, false, entry("s0", app.address(), "active"))); // whatever discovery says
+        expect("changes s0 UP");
+        get(client, "03", "read", 900);
+        arrived(3, "read");
+        expect("ended 3 0 NO_CONNECTION false");
         assertEquals(List.of("SUCCESS"), call("ATTACH s0\n"));
         expect("detached []");
-        app.accept(); // made ahead anew
         for (String none : new String[] {"DETACH s1", "ATTACH s1", "DETACH", "ATTACH ", "DETACH ../s0",
             "DETACH s0 s0", "detach s0"}) {
             assertTrue(call(none + "\n").get(0).startsWith("FAILURE "), none);
@@ -755,8 +763,8 @@
         for (String type : new String[] {"read", "refuse", "fail", "made\"up", "read"}) {
             get(client, "01", type, 900);
             if (!type.equals("refuse") && !type.equals("fail")) {
-                server.message();
-                server.value("v");
+                server().message();
+                server().value("v");
             }
             client.message();
         }
@@ -786,7 +794,7 @@
             "name":"write","repeat_window":400,"group":"all",""").replaceFirst("read_like\",\"aim\":600,"
             + "\"hard_limit\":2000}]", "idempotency_key\",\"aim\":600,\"hard_limit\":2000}]"));
         expect("settings 1 read SAFE write KEYED");
-        assertEquals("01", server.message().get(2));
+        assertEquals("01", server().message().get(2));
         assertEquals("01", app.accept().message().get(2)); // two attempts, as when it came
         get(client(), "02", "twice", 900);
         arrived(2, "twice");
@@ -828,27 +836,36 @@
         Peer.Line client = client();
         get(client, "01", "read", 400);
         arrived(1, "read");
-        server.message();
-        server.write("*3\r\n$4194304\r\n" + "a".repeat(100_000));
+        server().message();
+        server().write("*3\r\n$4194304\r\n" + "a".repeat(100_000));
         expect("first 1 0");
         assertEquals("$4194304", client.line());
         assertEquals("a".repeat(100_000), client.bytes(100_000));
         get(client, "02", "refuse", 900); // answered behind it
         arrived(2, "refuse");
         Thread.sleep(500);
-        server.write("b".repeat(4_194_304 - 100_000 - 1));
+        Peer.Line line = server();
+        Thread giving = new Thread(() -> { // more than the sockets of a new connection hold
+            try {
+                line.write("b".repeat(4_194_304 - 100_000 - 1));
+            } catch (IOException e) {
+                told.add("giving: " + e);
+            }
+        });
+        giving.start();
         assertEquals("b".repeat(4_094_303), client.bytes(4_094_303));
-        server.write("c\r");
-        server.write("\n");
+        giving.join();
+        server().write("c\r");
+        server().write("\n");
         assertEquals("c\r\n", client.bytes(3));
         assertEquals(List.of("-BUSY 1500"), client.message());
-        server.write("$-1\r\n$-1\r\n");
+        server().write("$-1\r\n$-1\r\n");
         expect("ended 1 0 OK true");
         assertTrue(call("INFO\n").containsAll(List.of("node_served_total{class=\"read\"} 1",
             "node_failed_total{class=\"read\"} 0", "node_in_flight 0")));
         get(client, "03", "read", 900);
-        server.message(); // on the same connection
-        server.value("v");
+        server().message(); // on the same connection
+        server().value("v");
         assertEquals(List.of("v"), client.message());
     }
 
@@ -857,11 +874,12 @@
         start();
         Peer.Line client = client();
         get(client, "01", "read", 900);
-        server.message();
+        server().message();
         int length = 64 << 20; // more than all sockets' buffers hold
+        Peer.Line line = server();
         Thread giving = new Thread(() -> {
             try {
-                server.value("a".repeat(length));
+                line.value("a".repeat(length));
             } catch (IOException e) {
                 told.add("giving: " + e);
             }
@@ -883,7 +901,7 @@
         start();
         Peer.Line client = client();
         get(client, "01", "read", 2500);
-        server.message();
+        server().message();
         get(client, "02", "read", 2500);
         Peer.Line second = app.accept();
         second.message();
@@ -899,7 +917,7 @@
         arrived(1, "read");
         arrived(2, "read");
         expect("first 2 0");
-        server.value("one");
+        server().value("one");
         assertEquals(List.of("one"), client.message());
         assertEquals(List.of(value), client.message());
         giving.join();
@@ -911,12 +929,12 @@
         Peer.Line client = client();
         get(client, "01", "read", 900);
         arrived(1, "read");
-        server.message();
-        server.write("*3\r\n$100000\r\nabc");
+        server().message();
+        server().write("*3\r\n$100000\r\nabc");
         expect("first 1 0");
         assertEquals("$100000", client.line());
         assertEquals("abc", client.bytes(3));
-        server.close();
+        server().close();
         expect("ended 1 0 RESET true");
         assertTrue(client.ended());
         assertTrue(call("INFO\n").contains("node_failed_total{class=\"read\"} 1"));
@@ -939,11 +957,11 @@
         Peer.Line client = client();
         get(client, "01", "read", 900);
         arrived(1, "read");
-        server.message();
-        server.write("*3\r\n$1\r\nv\r\n$-1\r\n$70000\r\n");
+        server().message();
+        server().write("*3\r\n$1\r\nv\r\n$-1\r\n$70000\r\n");
         expect("ended 1 0 ERROR false");
         assertEquals(List.of("-ERR failed"), client.message());
-        assertTrue(server.ended());
+        assertTrue(server().ended());
     }
 
     /** A peer that sends nothing, or not the whole of a command, is owed a close 3 s after it came. */
@@ -970,7 +988,7 @@
         Peer.Line busy = client();
         get(busy, "01", "read", 2500);
         arrived(1, "read");
-        server.message();
+        server().message();
         drained = true;
         Thread draining = new Thread(node::drain);
         draining.start();
@@ -981,7 +999,7 @@
         assertTrue(late.ended());
         idle.close();
         late.close();
-        server.value("v");
+        server().value("v");
         assertEquals(List.of("v"), busy.message());
         assertTrue(busy.ended());
         busy.close();
@@ -1025,7 +1043,7 @@
         List<Peer.Line> lines = new ArrayList<>();
         for (int i = 0; i < calls; i++) {
             get(client, "0" + i, "read", 20_000);
-            lines.add(i == 0 ? server : app.accept());
+            lines.add(i == 0 ? server() : app.accept());
             lines.get(i).message();
         }
         for (Peer.Line line : lines) {
