Go by the even part under a ceiling with no call to be had, and use late totals

Change: the counter's answers are told for four limits, with the time they took; one past its limit counts as late where the module bounds its calls. With no call to be had a customer under a ceiling goes by its even part, less all that is sent.

--- a/src/main/java/willowyoke/Decide.java
+++ b/src/main/java/willowyoke/Decide.java
@@ -107,6 +107,7 @@
         double share, credits, accruedAt, dueUnits, held, arrived, usual;
         double level, levelAt, guess, guessAt, lastTotal;
         double claimed, added, uncounted, fixed, inside, ceiling, ceilingAt, askAt, shortUntil, seen;
+        double even, evenAt; // what the even part still has for this gateway, of all that it sends
         long askEpoch, slotEpoch, totalEpoch;
         int out;
         boolean asking, inRing;
@@ -116,7 +117,8 @@
             this.plan = plan;
             this.spread = Math.max(1, spread);
             key = UUID.nameUUIDFromBytes(name.getBytes(StandardCharsets.UTF_8)).getMostSignificantBits();
-            seen = ceilingAt = levelAt = guessAt = accruedAt = now;
+            seen = ceilingAt = levelAt = guessAt = accruedAt = evenAt = now;
+            even = Math.floor(plan.burst() / this.spread);
             level = guess = plan.burst();
             share = 1.0 / this.spread;
         }
@@ -453,7 +455,8 @@
         // a connection that broke tells neither of a crowd nor of a counter that is away
         misses = heard ? 0 : misses + (outcome == Gateway.Outcome.RESET ? 0 : 1);
         callsOut--;
-        if (outcome == Gateway.Outcome.FULL || outcome == Gateway.Outcome.TIMEOUT) {
+        if (outcome == Gateway.Outcome.FULL || outcome == Gateway.Outcome.TIMEOUT
+            || heard && took > set.allowed().counterTimeout()) {
             turnedAway |= outcome == Gateway.Outcome.FULL;
             callsLate++;
             if (now >= windowCutAt) { // once for all that were out together
@@ -707,10 +710,19 @@
     /**
      * With no call to be had a request goes by belief, where being right earns more: by the store as last
      * read, less what was sent here since, times what all send for one of ours; and by what was covered then.
+     * Under a ceiling the even part stands in for that, so that all of them together stay within the quota.
      */
     private boolean onBelief(Customer c, Req r) {
-        return !alone(c) && !c.asking && !mayCall() && c.plan.ceilingRate() <= 0 && !r.told.again()
-            && believed(c) && guess(c) >= r.told.units();
+        return !alone(c) && !c.asking && !mayCall() && guess(c) >= r.told.units()
+            && (c.plan.ceilingRate() > 0 ? even(c) >= r.told.units() : believed(c) && !r.told.again());
+    }
+
+    /** What is left of the even part, were it to cover all that is sent on here. */
+    private double even(Customer c) {
+        c.even = Math.min(Math.floor(c.plan.burst() / c.spread),
+            c.even + c.plan.rate() / c.spread * (now - c.evenAt) / 1000);
+        c.evenAt = now;
+        return c.even;
     }
 
     /** Sending earns more than it costs, by what the plan tells, and servers are not pressed. */
@@ -747,6 +759,7 @@
             dequeue(r);
             c.credits -= c.plan.rate() > 0 ? r.told.units() : 0;
             c.ceiling -= r.told.units();
+            c.even = Math.max(0, even(c) - r.told.units());
             if (c.credits < 0 || now < counterSilentUntil) { // told with the next add
                 c.guess = guess(c) - r.told.units() / c.share;
                 c.guessAt = now;
--- a/src/main/java/willowyoke/net/CounterClient.java
+++ b/src/main/java/willowyoke/net/CounterClient.java
@@ -22,6 +22,11 @@
 /** Calls to the shared counter over a few connections. A name keeps to one, so its answers stay in order. */
 final class CounterClient {
     private static final int LINES = 4;
+    /**
+     * The counter answers each call in its turn, however late: for so many limits an answer is still told, with
+     * the time it took, as what it says is true and was paid for. Its line is no longer than about three.
+     */
+    private static final double WORTH_HAVING = 4;
     /** Checks (ms): shorter than the 10 s or less after which the counter closes an idle connection. */
     private static final double CHECK = 1000;
     /** A connection that owes an answer for longer (ms) is one to a machine that is gone. */
@@ -118,7 +123,7 @@
         untold.add(call);
         if (!armed) {
             armed = true;
-            node.after(limit, this::expire);
+            node.after(WORTH_HAVING * limit, this::expire);
         }
     }
 
@@ -137,12 +142,12 @@
 
     /** One timer for all calls, as the limit is one: else answered ones would wake the loop once more. */
     private void expire() {
-        while (!untold.isEmpty() && (untold.peek().told || untold.peek().sent + limit <= node.now())) {
+        while (!untold.isEmpty() && (untold.peek().told || untold.peek().sent + WORTH_HAVING * limit <= node.now())) {
             tell(untold.poll(), Gateway.Outcome.TIMEOUT, 0);
         }
         armed = !untold.isEmpty();
         if (armed) {
-            node.after(untold.peek().sent + limit - node.now(), this::expire);
+            node.after(untold.peek().sent + WORTH_HAVING * limit - node.now(), this::expire);
         }
     }
 
