Let a node of a large fleet save up for a call, and start with fewer calls and less warm-up

Cause: with less than a quarter of a call for a node and period the allowance was capped under one, so that such a node never called again, and a limit under one never counted as used up and did not grow (QuotaTest: 0 calls in 20 s). All nodes together began with 1,000 calls at once, against the 380 to 510 a second that the operators name: 44% of the calls of the first 5 s were turned away.

Change: one call can be saved up for; the limit starts at the operators' least figure and grows fast until some fail. A customer counts as inside by what its last claims got at once. Where calls are scarce a customer whose readings left room goes every second time without one; where they abound a request that has time waits for the next edge. A node runs its code before a start for as long as its part of the fleet's work is worth.

--- a/src/main/java/willowyoke/Decide.java
+++ b/src/main/java/willowyoke/Decide.java
@@ -30,8 +30,10 @@
     private static final double LIMIT_LEAST = 1.0 / 8;
     /** With less than this many mean times left an answer is too often late to spend a server on it. */
     private static final double LAST_CALL = 2;
-    /** Calls of all gateways for an edge, at first: one a millisecond; then by what is turned away. */
-    private static final double CALLS = SUBPERIOD;
+    /** Above this the last two readings of a customer granted all that was claimed, or nearly. */
+    private static final double SURE = 0.9;
+    /** Calls of all gateways for an edge, at first: the least that the counter takes; then by what is turned away. */
+    private static final double CALLS = 380 * SUBPERIOD / 1000;
     /**
      * Calls out at once, at first: wide, as a new gateway has all to read. The counter serves them in turn,
      * so the last of a burst are late; then this is cut, to two at the least.
@@ -199,7 +201,7 @@
         this.now = now;
         take(settings);
         callLimit = Math.max(1, CALLS / settings.nodes());
-        callsLeft = 4 * callLimit;
+        callsLeft = callLimit;
         at(Kind.EDGE, nextEdge(), null);
         if (settings.mustAsk()) {
             act.subscribe();
@@ -513,12 +515,13 @@
         if (turnedAway || callsLate > callsHeard) { // a few late ones are no crowd: bursts are served in turn
             callsMost = callLimit > 0.8 * callsMost ? callLimit : 0.99 * callsMost;
             callLimit = Math.max(CALLS / set.nodes() / 16, callLimit * 0.8); // as TCP: under what failed,
-        } else if (callsLeft < callLimit) {
-            callLimit *= callLimit < 0.8 * callsMost ? 1.1 : 1.01; // soon near it again, then slowly past it
+        } else if (callsLeft < Math.max(1, callLimit)) {
+            // doubled in a second until any fail; then soon near it again, and slowly past it
+            callLimit *= callsMost == 0 ? 1.2 : callLimit < 0.8 * callsMost ? 1.1 : 1.01;
         }
         turnedAway = false;
         callsHeard = callsLate = 0;
-        callsLeft = Math.min(4 * callLimit, Math.min(callsLeft, 4 * callLimit) + callLimit);
+        callsLeft = Math.min(Math.max(1, 4 * callLimit), callsLeft + callLimit); // one can be saved up for
         for (Iterator<Customer> it = active.iterator(); it.hasNext();) {
             Customer c = it.next();
             c.usual += (c.arrived - c.usual) * FAST;
@@ -619,8 +622,8 @@
         c.totalEpoch = c.askEpoch;
         c.lastTotal = total + part - c.claimed + (far ? excess : 0);
         c.levelAt = c.guessAt = now;
-        c.inside += (part / c.claimed - c.inside) / 2; // few readings, and the last tells most
-        usuallyInside += (part / c.claimed - usuallyInside) * SLOW;
+        c.inside += (ready / c.claimed - c.inside) / 2; // few readings, and the last tells most
+        usuallyInside += (ready / c.claimed - usuallyInside) * SLOW;
         if (part < c.claimed) {
             c.askAt = nextEdge();
             call(c, name(c, c.askEpoch), part - c.claimed, Why.GIVE);
@@ -694,6 +697,9 @@
     private boolean covered(Customer c, Req r) {
         accrue(c);
         if (c.plan.rate() > 0 && c.credits < r.told.units()) {
+            if (sure(c, r)) {
+                return underCeiling(c, r) && slot(c);
+            }
             double weight = Math.ceil(c.held - c.credits - c.dueUnits - 1e-6);
             // no use to add where the last reading leaves nothing in time
             double known = c.level + c.plan.rate() / 1000 * (now - c.levelAt + lastCall(r) - now);
@@ -707,13 +713,29 @@
         return underCeiling(c, r) && slot(c);
     }
 
+    /** The counter has turned calls away, and takes fewer than there are requests here. */
+    private boolean scarce() {
+        return callsMost > 0 && callLimit < askRate * SUBPERIOD / 1000;
+    }
+
+    /**
+     * Where calls are scarce, every second request of a customer whose last readings left room goes without one:
+     * what it takes is told with the next, and the call is there for who may have no room.
+     */
+    private boolean sure(Customer c, Req r) {
+        return scarce() && !alone(c) && c.inside > SURE && r.serial % 2 == 0 && guess(c) >= r.told.units()
+            && (c.plan.ceilingRate() <= 0 || even(c) >= r.told.units());
+    }
+
     /**
      * With no call to be had a request goes by belief, where being right earns more: by the store as last
      * read, less what was sent here since, times what all send for one of ours; and by what was covered then.
-     * Under a ceiling the even part stands in for that, so that all of them together stay within the quota.
+     * Under a ceiling the even part stands in for that, so that all of them together stay within the quota. Where
+     * calls abound the next edge brings one, which a request waits for that has the time.
      */
     private boolean onBelief(Customer c, Req r) {
-        return !alone(c) && !c.asking && !mayCall() && guess(c) >= r.told.units()
+        boolean wait = now >= counterSilentUntil && !scarce() && lastCall(r) - now > 2 * SUBPERIOD;
+        return !alone(c) && !c.asking && !mayCall() && !wait && guess(c) >= r.told.units()
             && (c.plan.ceilingRate() > 0 ? even(c) >= r.told.units() : believed(c) && !r.told.again());
     }
 
--- a/src/main/java/willowyoke/Main.java
+++ b/src/main/java/willowyoke/Main.java
@@ -14,6 +14,8 @@
 public final class Main {
     /** A start is to take clients within 6 s: the code is run until then (ms), what is slow waited for. */
     private static final long RUN_UNTIL = 3000;
+    /** So few nodes carry all that comes: in a larger fleet the code is run only so much as each has to carry. */
+    private static final double FEW = 4;
     private static final long READY_BY = 4800;
     private static final long READY_LEAST = 500;
 
@@ -53,7 +55,8 @@
         Node node = new Node(config, Decide::new);
         // before the start: the JVM's own way is to end
         Hangup.handle(() -> node.reload(() -> Config.file(System.getenv())));
-        Warmup.run(config, Decide::new, RUN_UNTIL - age());
+        double carries = Math.min(1, FEW / config.settings().nodes());
+        Warmup.run(config, Decide::new, Math.round(carries * (RUN_UNTIL - age())));
         try {
             node.start(Math.max(READY_LEAST, READY_BY - age()));
             System.err.println("takes clients after " + age() + " ms");
--- a/src/test/java/willowyoke/QuotaTest.java
+++ b/src/test/java/willowyoke/QuotaTest.java
@@ -216,6 +216,44 @@
         assertEquals(12, b.count("send"), "all earlier ones were covered");
     }
 
+    /** One call saved up at a time: a gateway of a large fleet is never left without any. */
+    @Test void aGatewayWithLessThanACallAPeriodStillCalls() {
+        Bench b = new Bench();
+        b.nodes = 400;
+        b.start().servers(8);
+        for (int i = 0; i < 200; i++) { // a crowded counter, for 10 s
+            b.arrive(i, "read", "rate", "c" + i);
+            b.answerCounter(Gateway.Outcome.FULL);
+            b.to(b.now + 50);
+        }
+        b.log.clear();
+        for (int i = 200; i < 600; i++) {
+            b.arrive(i, "read", "rate", "c" + i);
+            b.answerCounter(OK);
+            b.to(b.now + 50);
+        }
+        assertTrue(b.count("count 1.0") > 5, "calls in 20 s: " + b.count("count 1.0"));
+    }
+
+    /** Under a ceiling, with no call to be had: its part of the store and of the rate, and no more. */
+    @Test void withNoCallToBeHadTheEvenPartHoldsUnderACeiling() {
+        Bench b = new Bench();
+        b.plans = List.of(new Gateway.Plan("both", 8, 8, 0, 1, 0, 1, 80, 800, 0));
+        b.start().servers(8);
+        b.to(10_000); // the part of the ceiling has filled
+        for (int i = 0; i < 20; i++) { // the counter is away
+            b.module.arrived(b.now, new Gateway.Request(100 + i, "read", "both", "d" + i, 1, 1, 100, 0, false));
+            b.answerCounter(Gateway.Outcome.NO_CONNECTION);
+        }
+        b.log.clear();
+        for (int i = 0; i < 200; i++) {
+            b.arrive(i, "read", "both", "c", 1, 2);
+            b.answerCounter(Gateway.Outcome.NO_CONNECTION);
+            b.to(b.now + 50);
+        }
+        assertTrue(b.count("send") >= 20 && b.count("send") <= 4 + 4 * 10, "sent " + b.count("send"));
+    }
+
     @Test void trueUnitsAreTakenFromTheCredits() {
         Bench b = new Bench();
         b.settled = true;
--- a/src/test/java/willowyoke/net/NodeTest.java
+++ b/src/test/java/willowyoke/net/NodeTest.java
@@ -555,7 +555,7 @@
 
     /** The counter serves calls in turn, so what is answered on one connection tells of the others. */
     @Test void aSilentCounterConnectionEndsWhenLaterCallsAreAnswered() throws Exception {
-        countLimit = 800;
+        countLimit = 200;
         start();
         for (int i = 0; i < 4; i++) {
             Peer.Line line = counter.accept();
@@ -591,8 +591,25 @@
         expect("counted 77 RESET 0.0");
     }
 
+    /** The counter has added it, and what it says is true: the module gets the total, late as it is. */
+    @Test void aTotalPastTheLimitIsStillTold() throws Exception {
+        countLimit = 500;
+        start();
+        BlockingQueue<Peer.Line> called = counterLines();
+        get(client(), "01", "count", 20_000);
+        arrived(1, "count");
+        Peer.Line line = called.poll(10, TimeUnit.SECONDS);
+        assertNotNull(line);
+        line.message();
+        Thread.sleep(600);
+        line.write("$2\r\n-1\r\n$2\r\n-2\r\n");
+        expect("counted 77 OK -1.0");
+        expect("counted 77 OK -2.0");
+    }
+
     /** Counter calls end in time as 'may have been added', and a late answer must not shift onto the next. */
     @Test void lateCounterAnswersStayWithTheirCalls() throws Exception {
+        countLimit = 250;
         start();
         BlockingQueue<Peer.Line> called = counterLines();
         Peer.Line client = client();
