--- a/src/main/java/willowyoke/Decide.java
+++ b/src/main/java/willowyoke/Decide.java
@@ -32,7 +32,7 @@
     private static final double LAST_CALL = 2;
     /** Above this the last two readings of a customer granted all that was claimed, or nearly. */
     private static final double SURE = 0.9;
-    /** Calls of all gateways for an edge, at first: the least that the counter takes; then by what is turned away. */
+    /** Calls of all gateways for an edge, at first: the least that it takes; then by what is turned away. */
     private static final double CALLS = 380 * SUBPERIOD / 1000;
     /**
      * Calls out at once, at first: wide, as a new gateway has all to read. The counter serves them in turn,
@@ -46,11 +46,11 @@
     private static final double OPEN_EPOCH = 16 * SUBPERIOD;
     /** Clients turn away from a dropped class later than it is dropped here (ms). */
     private static final double DROPPED = 5000;
-    /** A server of the reserve stays in use for so long (ms): about as long as what made it needed is believed. */
+    /** A server of the reserve stays in use for so long (ms): as long as what made it needed is believed. */
     private static final double WIDENED = 2 * FORGET;
-    /** So many tries of a request go to this gateway's own servers: what fails these may have hit all of them. */
+    /** So many tries of a request go to this gateway's own servers: what failed these may be all over. */
     private static final int OWN_TRIES = 2;
-    /** A server whose turn is one round further off is taken only where it is so much better than the others. */
+    /** A server whose turn is one round further off is taken where it is so much better than the others. */
     private static final double TURN = 0.3;
     /** A retry that finds no server looks again after this (ms): a few of the shortest ticks. */
     private static final double LOOK_AGAIN = 25;
@@ -177,7 +177,7 @@
         double lastSent, fails, ejectedUntil, ejections;
         boolean trial, wasDead;
         double coldFrom = Double.NEGATIVE_INFINITY, coldCredit, coldAt;
-        double part, turn, usedUntil; // share of what is sent here, by the subset; next turn; a reserve until then
+        double part, turn, usedUntil; // share of what is sent, by the subset; next turn; in use until then
         final long rank;
         final Map<String, double[]> failing = new HashMap<>(); // by class: share that fails, when
 
@@ -263,7 +263,7 @@
         pump();
     }
 
-    /** The servers in use have changed, or may have: the parts follow, and what is new takes its turn last. */
+    /** The servers in use may have changed: the parts follow, and what is new takes its turn last. */
     private void countUp() {
         List<Host> used = hosts.values().stream().filter(h -> h.up && !h.detached).toList();
         up = used.size();
@@ -719,8 +719,8 @@
     }
 
     /**
-     * Where calls are scarce, every second request of a customer whose last readings left room goes without one:
-     * what it takes is told with the next, and the call is there for who may have no room.
+     * Where calls are scarce, every second request of a customer whose last readings left room goes without
+     * one: what it takes is told with the next, and the call is there for who may have no room.
      */
     private boolean sure(Customer c, Req r) {
         return scarce() && !alone(c) && c.inside > SURE && r.serial % 2 == 0 && guess(c) >= r.told.units()
@@ -730,8 +730,8 @@
     /**
      * With no call to be had a request goes by belief, where being right earns more: by the store as last
      * read, less what was sent here since, times what all send for one of ours; and by what was covered then.
-     * Under a ceiling the even part stands in for that, so that all of them together stay within the quota. Where
-     * calls abound the next edge brings one, which a request waits for that has the time.
+     * Under a ceiling the even part stands in for that, so that all of them together stay within the quota.
+     * Where calls abound the next edge brings one, which a request waits for that has the time.
      */
     private boolean onBelief(Customer c, Req r) {
         boolean wait = now >= counterSilentUntil && !scarce() && lastCall(r) - now > 2 * SUBPERIOD;
@@ -806,7 +806,7 @@
         return paceCredit >= 1;
     }
 
-    /** The pace (1/s) with two out at each server, of all gateways together, at the time an answer takes at first. */
+    /** The pace (1/s) with two out at each server, of all gateways, at the time an answer takes at first. */
     private double firstPace() {
         return 2000.0 * up / set.nodes() / (meanAim / 8);
     }
@@ -815,7 +815,7 @@
     private void pace(boolean late) {
         double step = Math.max(PACE_STEP, Math.min(0.25, 1 / Math.max(1, askRate)));
         paceRate = late ? paceRate * Math.pow(1 - step, 3) : paceRate + step * askRate;
-        double most = edges < 4 ? paceRate : Math.max(firstPace(), 2 * askRate); // idle time is no reason to wait
+        double most = edges < 4 ? paceRate : Math.max(firstPace(), 2 * askRate); // idle time holds up nothing
         paceRate = Math.max(Math.max(0.1, askRate / 8), Math.min(paceRate, most));
     }
 
--- a/src/main/java/willowyoke/Main.java
+++ b/src/main/java/willowyoke/Main.java
@@ -14,7 +14,7 @@
 public final class Main {
     /** A start is to take clients within 6 s: the code is run until then (ms), what is slow waited for. */
     private static final long RUN_UNTIL = 3000;
-    /** So few nodes carry all that comes: in a larger fleet the code is run only so much as each has to carry. */
+    /** So few nodes carry all that comes: in a larger fleet the code is run for the part of each. */
     private static final double FEW = 4;
     private static final long READY_BY = 4800;
     private static final long READY_LEAST = 500;
@@ -68,8 +68,8 @@
     }
 
     /**
-     * How long this process has been there (ms), the start of its JVM included: both ends by the JVM's own clock,
-     * as the system's process table may go by another one.
+     * How long this process has been there (ms), the start of its JVM included, by the JVM's own clock: the
+     * system's process table may go by another one.
      */
     private static long age() {
         return Math.max(0, ManagementFactory.getRuntimeMXBean().getUptime());
--- a/src/main/java/willowyoke/Subset.java
+++ b/src/main/java/willowyoke/Subset.java
@@ -7,12 +7,12 @@
 import java.util.Map;
 
 /**
- * A small part of the servers for each gateway, which every gateway computes alike from the numbers of gateways
- * and the list, without a word between them. Each gateway picks the servers that it ranks highest, each server
- * the gateways that it ranks highest (rendezvous hashing, Thaler and Ravishankar 1998), and a pair picked by
- * either is used: so one machine more or less moves few others, and none is without a partner. With two picks or
- * more from both sides such a graph almost surely carries an even load (Walkup 1980); the parts that make it even
- * come by scaling rows and columns in turn (Sinkhorn and Knopp 1967).
+ * A small part of the servers for each gateway, which every gateway computes alike from the list and the
+ * number of gateways, without a word between them. Each gateway picks the servers that it ranks highest, each
+ * server the gateways that it ranks highest (rendezvous hashing, Thaler and Ravishankar 1998); pairs that
+ * either has picked are used: so one machine more or less moves few others, and none is without a partner.
+ * With two picks or more from both sides such a graph almost surely carries an even load (Walkup 1980); the
+ * parts that make it even come by scaling rows and columns in turn (Sinkhorn and Knopp 1967).
  */
 final class Subset {
     /** Picks of each gateway: a choice left when one is slow and another is replaced. */
@@ -25,9 +25,9 @@
     private Subset() { }
 
     /**
-     * What gateway {@code me} of {@code gateways} (from 1) sends to each server, as shares of what it sends: they
-     * add up to 1, and a server that it does not use is not named. Wants are what servers are to carry, on any
-     * one scale: one of 0 or less gets nothing, unless all are so, which are then alike. Ids occur once.
+     * What gateway {@code me} (from 0) of so many sends to each server, as shares of all that it sends: they
+     * add up to 1, and a server that it does not use is not named. Wants are what servers are to carry, on
+     * any one scale: one of 0 or less gets nothing, unless all are so, which are then alike. Ids occur once.
      */
     static Map<String, Double> of(int me, int gateways, List<String> ids, double[] wants) {
         double[] wanted = wanted(wants, gateways);
--- a/src/main/java/willowyoke/net/CounterClient.java
+++ b/src/main/java/willowyoke/net/CounterClient.java
@@ -23,8 +23,8 @@
 final class CounterClient {
     private static final int LINES = 4;
     /**
-     * The counter answers each call in its turn, however late: for so many limits an answer is still told, with
-     * the time it took, as what it says is true and was paid for. Its line is no longer than about three.
+     * The counter answers each call in its turn, however late: for so many limits an answer is still told,
+     * with the time it took, as what it says is true and was paid for. Its line is about three of them.
      */
     private static final double WORTH_HAVING = 4;
     /** Checks (ms): shorter than the 10 s or less after which the counter closes an idle connection. */
@@ -142,7 +142,8 @@
 
     /** One timer for all calls, as the limit is one: else answered ones would wake the loop once more. */
     private void expire() {
-        while (!untold.isEmpty() && (untold.peek().told || untold.peek().sent + WORTH_HAVING * limit <= node.now())) {
+        double before = node.now() - WORTH_HAVING * limit;
+        while (!untold.isEmpty() && (untold.peek().told || untold.peek().sent <= before)) {
             tell(untold.poll(), Gateway.Outcome.TIMEOUT, 0);
         }
         armed = !untold.isEmpty();
--- a/src/test/java/willowyoke/FleetTest.java
+++ b/src/test/java/willowyoke/FleetTest.java
@@ -89,7 +89,8 @@
         List<Gateway.Server> list = new ArrayList<>();
         for (int i = 0; i < 20; i++) {
             Gateway.Server s = Bench.server(i % 10, Gateway.State.UP, 0);
-            list.add(new Gateway.Server(s.id(), s.cell(), s.zone(), s.state(), s.kind(), 0, i % 10 == 0 ? 0 : 1));
+            double share = i % 10 == 0 ? 0 : 1;
+            list.add(new Gateway.Server(s.id(), s.cell(), s.zone(), s.state(), s.kind(), 0, share));
         }
         b.module.servers(0, list, true);
         List<String> used = use(b, 0, 60, Set.of());
--- a/src/test/java/willowyoke/QuotaTest.java
+++ b/src/test/java/willowyoke/QuotaTest.java
@@ -242,7 +242,7 @@
         b.start().servers(8);
         b.to(10_000); // the part of the ceiling has filled
         for (int i = 0; i < 20; i++) { // the counter is away
-            b.module.arrived(b.now, new Gateway.Request(100 + i, "read", "both", "d" + i, 1, 1, 100, 0, false));
+            b.arrive(100 + i, "read", "both", "d" + i, 1, 100);
             b.answerCounter(Gateway.Outcome.NO_CONNECTION);
         }
         b.log.clear();
--- a/src/test/java/willowyoke/SubsetTest.java
+++ b/src/test/java/willowyoke/SubsetTest.java
@@ -44,7 +44,7 @@
                 Map<String, Double> load = load(parts);
                 assertEquals(servers, load.size(), at + "each is used by one or more");
                 double most = load.values().stream().max(Double::compare).orElseThrow();
-                assertTrue(most <= 1.02 * gateways / servers, at + most * servers / gateways + " of the mean");
+                assertTrue(most <= 1.02 * gateways / servers, at + most * servers / gateways);
                 for (Map<String, Double> part : parts) {
                     assertEquals(1, part.values().stream().mapToDouble(d -> d).sum(), 1e-9, at);
                     assertTrue(part.size() >= Math.min(servers, Subset.OF_GATEWAY), at + part);
@@ -74,7 +74,7 @@
             double least = 100.0 / (servers + 1);
             assertTrue(moved <= 2 * least, servers + " servers: " + moved + ", at least " + least);
             double mean = (100.0 * Subset.OF_GATEWAY + servers * Subset.OF_SERVER) / (servers + 1);
-            assertTrue(pairs <= mean, servers + " servers: " + pairs + " new pairs, " + mean + " at a server");
+            assertTrue(pairs <= mean, servers + " servers: " + pairs + " new pairs, at each " + mean);
         }
     }
 
