--- a/fleet/lab/src/test/java/barleyfall/lab/process/EdgeProcessTest.java
+++ b/fleet/lab/src/test/java/barleyfall/lab/process/EdgeProcessTest.java
@@ -25,7 +25,8 @@
 /** Processes are ended, held and limited as they should be, and none is left behind. */
 @Timeout(60)
 class EdgeProcessTest {
-    private static final String STUBBORN = "trap '' TERM; exec sleep 600";
+    /** Says by a file that it ignores the signal by now: one that comes before would end it. */
+    private static final String STUBBORN = "trap '' TERM; touch stubborn; exec sleep 600";
 
     @TempDir Path folder;
     private final ExecutorService spawner = Executors.newSingleThreadExecutor();
@@ -75,6 +76,9 @@
     @Test void whatIgnoresTheTermIsKilled() throws Exception {
         try (Signaller signaller = new Signaller()) {
             EdgeProcess p = start(STUBBORN, signaller);
+            while (!Files.exists(folder.resolve("stubborn"))) {
+                Thread.sleep(5);
+            }
             p.termOrKill(200);
             assertFalse(p.isAlive());
             assertEquals(List.of("started", "term", "kill", "exit"), trace.inOrder().stream()
