Let NodeTest take its server's connection where it first uses it

Need: with no connection made ahead every use of the field was rewritten as a call, some sixty changed lines that say nothing.

Change: Peer.later() is a connection taken at its first use, so the tests read as before. The Javadoc of Node.start says again what it waits for, in whole lines.

--- a/src/main/java/willowyoke/net/Node.java
+++ b/src/main/java/willowyoke/net/Node.java
@@ -138,8 +138,8 @@
     // ---- life ----
 
     /**
-     * Comes up, and listens only once it is ready: a front takes in what answers. Lists that
-     * are not there within so many milliseconds are not waited for.
+     * Comes up, and listens only once it is ready: a front takes in what answers. A list that is not there
+     * within so many milliseconds is not waited for.
      */
     public void start(long within) throws IOException {
         CompletableFuture<Void> ready = new CompletableFuture<>();
--- a/src/test/java/willowyoke/net/NodeTest.java
+++ b/src/test/java/willowyoke/net/NodeTest.java
@@ -184,14 +184,7 @@
 
     private void start() throws Exception {
         start("whole s0 UP");
-    }
-
-    /** The first connection to the app server, made when the first request needs it. */
-    private Peer.Line server() throws Exception {
-        if (server == null) {
-            server = app.accept();
-        }
-        return server;
+        server = app.later(); // made when the first request needs it
     }
 
     private void start(String... first) throws Exception {
@@ -268,13 +261,13 @@
         client.command("CALL.POST", CUSTOMER, "9b1f",
             "c=read,t=p,d=900,k=5c0f,units=2,spread=3,first=1,r=1", body);
         expect("arrived 1 read p " + CUSTOMER + " 2 3 1 true");
-        List<String> sent = server().message();
+        List<String> sent = server.message();
         assertEquals(List.of("CALL.POST", CUSTOMER, "9b1f"), sent.subList(0, 3));
         assertTrue(sent.get(3).matches("c=read,t=p,d=(8[0-9][0-9]),k=5c0f,units=2,spread=3,first=1,r=1"),
             sent.get(3));
         assertEquals(body, sent.get(4));
         String value = "\r\n$5".repeat(13_000);
-        server().value(value);
+        server.value(value);
         assertEquals(List.of(value), client.message());
         expect("ended 1 0 OK true");
     }
@@ -284,13 +277,13 @@
         start();
         Peer.Line client = client();
         get(client, "01", "read", 900);
-        assertEquals("01", server().message().get(2));
+        assertEquals("01", server.message().get(2));
         get(client, "02", "refuse", 900);
         get(client, "03", "read", 900);
         Peer.Line second = app.accept(); // one request a connection at a time
         assertEquals("03", second.message().get(2));
         second.value("three");
-        server().value("one");
+        server.value("one");
         assertEquals(List.of("one"), client.message());
         assertEquals(List.of("-BUSY 1500"), client.message());
         assertEquals(List.of("three"), client.message());
@@ -346,11 +339,11 @@
         Peer.Line client = client();
         get(client, "01", "read", 300);
         arrived(1, "read");
-        server().message();
+        server.message();
         client.close();
         expect("gone 1");
         expect("ended 1 0 TIMEOUT true");
-        assertTrue(server().ended());
+        assertTrue(server.ended());
     }
 
     /** The protocol's table of outcomes; a break after the last byte may have run, one before has not. */
@@ -363,15 +356,15 @@
         for (String[] each : cases) {
             get(client, "0" + ++id, "read", 900);
             arrived(id, "read");
-            server().message();
-            server().write(each[0]);
+            server.message();
+            server.write(each[0]);
             expect("ended " + id + " 0 " + each[1] + " false");
             assertEquals(List.of("-ERR failed"), client.message());
         }
         get(client, "05", "read", 900);
         arrived(5, "read");
-        server().message();
-        server().close();
+        server.message();
+        server.close();
         expect("ended 5 0 RESET false");
         app.close();
         get(client, "06", "read", 900);
@@ -435,10 +428,10 @@
         Peer.Line client = client();
         get(client, "01", "read", 200);
         arrived(1, "read");
-        server().message();
+        server.message();
         expect("ended 1 0 TIMEOUT false");
         assertEquals(List.of("-ERR failed"), client.message());
-        assertTrue(server().ended());
+        assertTrue(server.ended());
         get(client, "02", "cancel", 900);
         arrived(2, "cancel");
         Peer.Line second = app.accept();
@@ -470,7 +463,7 @@
         Peer.Line client = client();
         get(client, "01", "cancel", 2500);
         arrived(1, "cancel");
-        server().message();
+        server.message();
         expect("ended 1 0 CANCELLED false");
         assertEquals(List.of("-ERR failed"), client.message());
     }
@@ -492,8 +485,8 @@
         Peer.Line client = client();
         get(client, "01", "probe", 900);
         arrived(1, "probe");
-        assertEquals(List.of("INFO", "load"), server().message());
-        server().write("$26\r\ninflight=7,x=1,util=0.6100\r\n");
+        assertEquals(List.of("INFO", "load"), server.message());
+        server.write("$26\r\ninflight=7,x=1,util=0.6100\r\n");
         expect("probed s0 OK [0.61, 7.0]");
     }
 
@@ -780,8 +773,8 @@
         for (String type : new String[] {"read", "refuse", "fail", "made\"up", "read"}) {
             get(client, "01", type, 900);
             if (!type.equals("refuse") && !type.equals("fail")) {
-                server().message();
-                server().value("v");
+                server.message();
+                server.value("v");
             }
             client.message();
         }
@@ -811,7 +804,7 @@
             "name":"write","repeat_window":400,"group":"all",""").replaceFirst("read_like\",\"aim\":600,"
             + "\"hard_limit\":2000}]", "idempotency_key\",\"aim\":600,\"hard_limit\":2000}]"));
         expect("settings 1 read SAFE write KEYED");
-        assertEquals("01", server().message().get(2));
+        assertEquals("01", server.message().get(2));
         assertEquals("01", app.accept().message().get(2)); // two attempts, as when it came
         get(client(), "02", "twice", 900);
         arrived(2, "twice");
@@ -853,15 +846,15 @@
         Peer.Line client = client();
         get(client, "01", "read", 400);
         arrived(1, "read");
-        server().message();
-        server().write("*3\r\n$4194304\r\n" + "a".repeat(100_000));
+        server.message();
+        server.write("*3\r\n$4194304\r\n" + "a".repeat(100_000));
         expect("first 1 0");
         assertEquals("$4194304", client.line());
         assertEquals("a".repeat(100_000), client.bytes(100_000));
         get(client, "02", "refuse", 900); // answered behind it
         arrived(2, "refuse");
         Thread.sleep(500);
-        Peer.Line line = server();
+        Peer.Line line = server;
         Thread giving = new Thread(() -> { // more than the sockets of a new connection hold
             try {
                 line.write("b".repeat(4_194_304 - 100_000 - 1));
@@ -872,17 +865,17 @@
         giving.start();
         assertEquals("b".repeat(4_094_303), client.bytes(4_094_303));
         giving.join();
-        server().write("c\r");
-        server().write("\n");
+        server.write("c\r");
+        server.write("\n");
         assertEquals("c\r\n", client.bytes(3));
         assertEquals(List.of("-BUSY 1500"), client.message());
-        server().write("$-1\r\n$-1\r\n");
+        server.write("$-1\r\n$-1\r\n");
         expect("ended 1 0 OK true");
         assertTrue(call("INFO\n").containsAll(List.of("node_served_total{class=\"read\"} 1",
             "node_failed_total{class=\"read\"} 0", "node_in_flight 0")));
         get(client, "03", "read", 900);
-        server().message(); // on the same connection
-        server().value("v");
+        server.message(); // on the same connection
+        server.value("v");
         assertEquals(List.of("v"), client.message());
     }
 
@@ -891,9 +884,9 @@
         start();
         Peer.Line client = client();
         get(client, "01", "read", 900);
-        server().message();
+        server.message();
         int length = 64 << 20; // more than all sockets' buffers hold
-        Peer.Line line = server();
+        Peer.Line line = server;
         Thread giving = new Thread(() -> {
             try {
                 line.value("a".repeat(length));
@@ -918,7 +911,7 @@
         start();
         Peer.Line client = client();
         get(client, "01", "read", 2500);
-        server().message();
+        server.message();
         get(client, "02", "read", 2500);
         Peer.Line second = app.accept();
         second.message();
@@ -934,7 +927,7 @@
         arrived(1, "read");
         arrived(2, "read");
         expect("first 2 0");
-        server().value("one");
+        server.value("one");
         assertEquals(List.of("one"), client.message());
         assertEquals(List.of(value), client.message());
         giving.join();
@@ -946,12 +939,12 @@
         Peer.Line client = client();
         get(client, "01", "read", 900);
         arrived(1, "read");
-        server().message();
-        server().write("*3\r\n$100000\r\nabc");
+        server.message();
+        server.write("*3\r\n$100000\r\nabc");
         expect("first 1 0");
         assertEquals("$100000", client.line());
         assertEquals("abc", client.bytes(3));
-        server().close();
+        server.close();
         expect("ended 1 0 RESET true");
         assertTrue(client.ended());
         assertTrue(call("INFO\n").contains("node_failed_total{class=\"read\"} 1"));
@@ -974,11 +967,11 @@
         Peer.Line client = client();
         get(client, "01", "read", 900);
         arrived(1, "read");
-        server().message();
-        server().write("*3\r\n$1\r\nv\r\n$-1\r\n$70000\r\n");
+        server.message();
+        server.write("*3\r\n$1\r\nv\r\n$-1\r\n$70000\r\n");
         expect("ended 1 0 ERROR false");
         assertEquals(List.of("-ERR failed"), client.message());
-        assertTrue(server().ended());
+        assertTrue(server.ended());
     }
 
     /** A peer that sends nothing, or not the whole of a command, is owed a close 3 s after it came. */
@@ -1005,7 +998,7 @@
         Peer.Line busy = client();
         get(busy, "01", "read", 2500);
         arrived(1, "read");
-        server().message();
+        server.message();
         drained = true;
         Thread draining = new Thread(node::drain);
         draining.start();
@@ -1016,7 +1009,7 @@
         assertTrue(late.ended());
         idle.close();
         late.close();
-        server().value("v");
+        server.value("v");
         assertEquals(List.of("v"), busy.message());
         assertTrue(busy.ended());
         busy.close();
@@ -1060,7 +1053,7 @@
         List<Peer.Line> lines = new ArrayList<>();
         for (int i = 0; i < calls; i++) {
             get(client, "0" + i, "read", 20_000);
-            lines.add(i == 0 ? server() : app.accept());
+            lines.add(i == 0 ? server : app.accept());
             lines.get(i).message();
         }
         for (Peer.Line line : lines) {
--- a/src/test/java/willowyoke/net/Peer.java
+++ b/src/test/java/willowyoke/net/Peer.java
@@ -18,8 +18,9 @@
 final class Peer implements Closeable {
     /** One connection, with the commands or lines that are read from it by hand. */
     static final class Line implements Closeable {
-        final Socket socket;
-        final InputStream in;
+        Socket socket;
+        InputStream in;
+        private Peer from;
 
         Line(Socket socket) throws IOException {
             this.socket = socket;
@@ -27,13 +28,30 @@
             in = new BufferedInputStream(socket.getInputStream());
         }
 
+        private Line(Peer from) {
+            this.from = from;
+        }
+
+        private Line open() throws IOException {
+            if (socket == null) {
+                try {
+                    Line line = from.accept();
+                    socket = line.socket;
+                    in = line.in;
+                } catch (InterruptedException e) {
+                    throw new IOException(e);
+                }
+            }
+            return this;
+        }
+
         static Line to(int port) throws IOException {
             return new Line(new Socket(InetAddress.getLoopbackAddress(), port));
         }
 
         String line() throws IOException {
             StringBuilder text = new StringBuilder();
-            for (int c = in.read(); c != '\n'; c = in.read()) {
+            for (int c = open().in.read(); c != '\n'; c = in.read()) {
                 if (c < 0) {
                     throw new EOFException();
                 }
@@ -73,7 +91,7 @@
         }
 
         void write(String text) throws IOException {
-            socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+            open().socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
         }
 
         void command(String... words) throws IOException {
@@ -91,17 +109,22 @@
 
         boolean ended() throws IOException {
             try {
-                return in.read() < 0;
+                return open().in.read() < 0;
             } catch (java.net.SocketException reset) {
                 return true;
             }
         }
 
         @Override public void close() throws IOException {
-            socket.close();
+            open().socket.close();
         }
     }
 
+    /** The next connection that is not taken by then, from its first use on. */
+    Line later() {
+        return new Line(this);
+    }
+
     private final ServerSocket server;
     private final Thread accepting;
     private final BlockingQueue<Line> accepted = new LinkedBlockingQueue<>();
