One kind of store for parts, counts with the list, one key for names, ranks counted round

Need: a review of the subsets found three stores kept by hand alike, the number of a gateway's own servers counted with every send, two hashes of names, and a cap on saved calls that nothing needed beside the growth of the limit. A rank past the group's size got no server at all.

Change: Store holds what a rate fills (ceiling and even part), own is counted with the list, Subset.key serves customers too, the cap is gone, ranks are counted round.

--- a/src/main/java/willowyoke/Decide.java
+++ b/src/main/java/willowyoke/Decide.java
@@ -1,7 +1,6 @@
 // What goes in and out is declared in Gateway.java: Events in, Actions out.
 package willowyoke;
 
-import java.nio.charset.StandardCharsets;
 import java.util.*;
 import java.util.function.Predicate;
 
@@ -75,6 +74,7 @@
     private double counterSilentUntil, usuallyInside = 1, silentSince;
     private int misses, up;
     private List<Host> split = List.of();
+    private int own; // how many of these are this gateway's own: counted with the list, not with each send
     private Gateway.Settings splitFor;
     private long edges;
     private double paceRate, paceCredit, pacedAt, paceWake, askRate, askedInPeriod;
@@ -108,8 +108,9 @@
         final ArrayDeque<double[]> due = new ArrayDeque<>(); // when, units: parts that the rate fills later
         double share, credits, accruedAt, dueUnits, held, arrived, usual;
         double level, levelAt, guess, guessAt, lastTotal;
-        double claimed, added, uncounted, fixed, inside, ceiling, ceilingAt, askAt, shortUntil, seen;
-        double even, evenAt; // what the even part still has for this gateway, of all that it sends
+        double claimed, added, uncounted, fixed, inside, askAt, shortUntil, seen;
+        final Store ceiling = new Store(); // starts empty, as an earlier process may have taken all of it
+        final Store even = new Store(); // the even part, less all that is sent here
         long askEpoch, slotEpoch, totalEpoch;
         int out;
         boolean asking, inRing;
@@ -118,14 +119,25 @@
             this.name = name;
             this.plan = plan;
             this.spread = Math.max(1, spread);
-            key = UUID.nameUUIDFromBytes(name.getBytes(StandardCharsets.UTF_8)).getMostSignificantBits();
-            seen = ceilingAt = levelAt = guessAt = accruedAt = evenAt = now;
-            even = Math.floor(plan.burst() / this.spread);
+            key = Subset.key(name);
+            seen = ceiling.at = levelAt = guessAt = accruedAt = even.at = now;
+            even.units = Math.floor(plan.burst() / this.spread);
             level = guess = plan.burst();
             share = 1.0 / this.spread;
         }
     }
 
+    /** Units that a rate fills, up to whole ones of a burst's part. */
+    private static final class Store {
+        double units, at;
+
+        double filled(double now, double perSecond, double most) {
+            units = Math.min(Math.floor(most), units + (now - at) / 1000 * perSecond);
+            at = now;
+            return units;
+        }
+    }
+
     private static final class Req {
         final Gateway.Request told;
         final Type type;
@@ -274,6 +286,7 @@
         splitFor = set;
         Map<String, Double> parts = Subset.of(set.me(), set.nodes(), used.stream().map(h -> h.id).toList(),
             used.stream().mapToDouble(h -> h.told.weight()).toArray());
+        own = parts.size();
         double last = hosts.values().stream().mapToDouble(h -> h.turn).max().orElse(0);
         for (Host h : hosts.values()) {
             double part = parts.getOrDefault(h.id, 0.0);
@@ -515,13 +528,13 @@
         if (turnedAway || callsLate > callsHeard) { // a few late ones are no crowd: bursts are served in turn
             callsMost = callLimit > 0.8 * callsMost ? callLimit : 0.99 * callsMost;
             callLimit = Math.max(CALLS / set.nodes() / 16, callLimit * 0.8); // as TCP: under what failed,
-        } else if (callsLeft < Math.max(1, callLimit)) {
+        } else if (callsLeft < Math.max(1, callLimit)) { // none to be had counts as used up
             // doubled in a second until any fail; then soon near it again, and slowly past it
             callLimit *= callsMost == 0 ? 1.2 : callLimit < 0.8 * callsMost ? 1.1 : 1.01;
         }
         turnedAway = false;
         callsHeard = callsLate = 0;
-        callsLeft = Math.min(Math.max(1, 4 * callLimit), callsLeft + callLimit); // one can be saved up for
+        callsLeft = Math.min(4 * callLimit, callsLeft + callLimit);
         for (Iterator<Customer> it = active.iterator(); it.hasNext();) {
             Customer c = it.next();
             c.usual += (c.arrived - c.usual) * FAST;
@@ -723,8 +736,7 @@
      * one: what it takes is told with the next, and the call is there for who may have no room.
      */
     private boolean sure(Customer c, Req r) {
-        return scarce() && !alone(c) && c.inside > SURE && r.serial % 2 == 0 && guess(c) >= r.told.units()
-            && (c.plan.ceilingRate() <= 0 || even(c) >= r.told.units());
+        return scarce() && !alone(c) && c.inside > SURE && r.serial % 2 == 0 && left(c, r);
     }
 
     /**
@@ -735,16 +747,18 @@
      */
     private boolean onBelief(Customer c, Req r) {
         boolean wait = now >= counterSilentUntil && !scarce() && lastCall(r) - now > 2 * SUBPERIOD;
-        return !alone(c) && !c.asking && !mayCall() && !wait && guess(c) >= r.told.units()
-            && (c.plan.ceilingRate() > 0 ? even(c) >= r.told.units() : believed(c) && !r.told.again());
+        return !alone(c) && !c.asking && !mayCall() && !wait && left(c, r)
+            && (c.plan.ceilingRate() > 0 || believed(c) && !r.told.again());
+    }
+
+    /** By what is believed of the store, and under a ceiling by the even part too. */
+    private boolean left(Customer c, Req r) {
+        return guess(c) >= r.told.units() && (c.plan.ceilingRate() <= 0 || even(c) >= r.told.units());
     }
 
     /** What is left of the even part, were it to cover all that is sent on here. */
     private double even(Customer c) {
-        c.even = Math.min(Math.floor(c.plan.burst() / c.spread),
-            c.even + c.plan.rate() / c.spread * (now - c.evenAt) / 1000);
-        c.evenAt = now;
-        return c.even;
+        return c.even.filled(now, c.plan.rate() / c.spread, c.plan.burst() / c.spread);
     }
 
     /** Sending earns more than it costs, by what the plan tells, and servers are not pressed. */
@@ -780,8 +794,8 @@
             }
             dequeue(r);
             c.credits -= c.plan.rate() > 0 ? r.told.units() : 0;
-            c.ceiling -= r.told.units();
-            c.even = Math.max(0, even(c) - r.told.units());
+            c.ceiling.units -= r.told.units();
+            c.even.units = Math.max(0, even(c) - r.told.units());
             if (c.credits < 0 || now < counterSilentUntil) { // told with the next add
                 c.guess = guess(c) - r.told.units() / c.share;
                 c.guessAt = now;
@@ -846,11 +860,19 @@
         }
         if (best != null) {
             best.usedUntil = now + WIDENED;
-            best.turn = split.stream().filter(h -> h.part > 0).mapToDouble(h -> h.turn).min().orElse(0);
+            best.turn = firstTurn(h -> h.part > 0);
         }
         return best;
     }
 
+    private double firstTurn(Predicate<Host> used) {
+        double first = Double.MAX_VALUE;
+        for (Host h : split) {
+            first = used.test(h) ? Math.min(first, h.turn) : first;
+        }
+        return first == Double.MAX_VALUE ? 0 : first;
+    }
+
     private static boolean been(Req r, Host h) {
         return r.attempts.stream().anyMatch(a -> a.host == h);
     }
@@ -859,7 +881,7 @@
     private Host least(Req r, Predicate<Host> used) {
         Host best = null;
         double bestScore = 0;
-        double first = split.stream().filter(used).mapToDouble(h -> h.turn).min().orElse(0);
+        double first = firstTurn(used);
         for (Host h : split) {
             if (!used.test(h) || !mayGet(r, h) || !room(h)) {
                 continue;
@@ -965,11 +987,6 @@
         }
     }
 
-    /** How many servers are this gateway's own. */
-    private long own() {
-        return split.stream().filter(h -> h.part > 0).count();
-    }
-
     // ---- attempts: sends, retries ----
 
     private void send(Req r, Host h) {
@@ -981,7 +998,7 @@
         h.coldCredit -= 1;
         h.lastSent = now;
         sentWarm += warmth(h) >= 1 ? 1 : 0;
-        h.turn += h.part > 0 ? 1 / (h.part * own()) : 1;
+        h.turn += h.part > 0 ? 1 / (h.part * own) : 1;
         paceCredit--;
         at(Kind.LATE, now + r.type.told.aim() / 2, r);
         act.send(r.told.id(), h.id, 0);
@@ -1099,10 +1116,7 @@
             return true;
         }
         double rate = replaced ? 0 : c.plan.ceilingRate() / c.spread; // the next process fills this part
-        c.ceiling = Math.min(Math.floor(c.plan.ceilingBurst() / c.spread),
-            c.ceiling + (now - c.ceilingAt) / 1000 * rate);
-        c.ceilingAt = now;
-        return c.ceiling >= r.told.units();
+        return c.ceiling.filled(now, rate, c.plan.ceilingBurst() / c.spread) >= r.told.units();
     }
 
     // ---- timers ----
--- a/src/main/java/willowyoke/Subset.java
+++ b/src/main/java/willowyoke/Subset.java
@@ -1,10 +1,12 @@
 // Which servers each gateway uses; its part of the decisions is declared in Gateway.java.
 package willowyoke;
 
+import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.UUID;
 
 /**
  * A small part of the servers for each gateway, which every gateway computes alike from the list and the
@@ -25,9 +27,9 @@
     private Subset() { }
 
     /**
-     * What gateway {@code me} (from 0) of so many sends to each server, as shares of all that it sends: they
-     * add up to 1, and a server that it does not use is not named. Wants are what servers are to carry, on
-     * any one scale: one of 0 or less gets nothing, unless all are so, which are then alike. Ids occur once.
+     * What gateway {@code me} of so many (from 0, counted round) sends to each server, as shares of what it
+     * sends: they add up to 1, and a server that it does not use is not named. Wants are what servers are to
+     * carry, on any one scale: one of 0 or less gets nothing, unless all are so: then alike. Ids occur once.
      */
     static Map<String, Double> of(int me, int gateways, List<String> ids, double[] wants) {
         double[] wanted = wanted(wants, gateways);
@@ -52,7 +54,7 @@
         }
         Map<String, Double> mine = new HashMap<>();
         for (int p = 0; p < part.length; p++) {
-            if (pairs[p] >> 32 == me) {
+            if (pairs[p] >> 32 == Math.floorMod(me, gateways)) {
                 mine.put(ids.get((int) pairs[p]), part[p]);
             }
         }
@@ -64,13 +66,9 @@
         return mix(server + mix(gateway + 1L));
     }
 
-    /** The name of a server as a number that has all of its letters in it (FNV-1a). */
-    static long key(String id) {
-        long hash = 0xcbf29ce484222325L;
-        for (int i = 0; i < id.length(); i++) {
-            hash = (hash ^ id.charAt(i)) * 0x100000001b3L;
-        }
-        return mix(hash);
+    /** A name as a number: the same at every gateway, and for customers the names on the counter go by it. */
+    static long key(String name) {
+        return UUID.nameUUIDFromBytes(name.getBytes(StandardCharsets.UTF_8)).getMostSignificantBits();
     }
 
     /** The last steps of SplitMix64 (Steele, Lea and Flood 2014). */
--- a/src/test/java/willowyoke/FleetTest.java
+++ b/src/test/java/willowyoke/FleetTest.java
@@ -43,6 +43,8 @@
             all.addAll(own);
         }
         assertEquals(60, all.size(), "together they use every server");
+        assertEquals(new HashSet<>(use(one(50).servers(60), 0, 60, Set.of())),
+            new HashSet<>(use(one(250).servers(60), 0, 60, Set.of())), "ranks are counted round");
     }
 
     /** All of a gateway's own servers die: it serves by others at once, and goes back when they are there. */
--- a/src/test/java/willowyoke/QuotaTest.java
+++ b/src/test/java/willowyoke/QuotaTest.java
@@ -216,7 +216,7 @@
         assertEquals(12, b.count("send"), "all earlier ones were covered");
     }
 
-    /** One call saved up at a time: a gateway of a large fleet is never left without any. */
+    /** A limit under one call a period grows too: a gateway of a large fleet is not left without any. */
     @Test void aGatewayWithLessThanACallAPeriodStillCalls() {
         Bench b = new Bench();
         b.nodes = 400;
