Keep a stand-in's door open when its server is back, as closing it loses the address

Cause: RealEdgeTest failed once, "cannot listen on 127.73.1.15:6379: Address already in use", when the end of zone-lost closed and opened the doors of a server at the very moment (2.5 s) at which a killed edge node was started again. A process that is started holds a copy of every socket between fork and exec, so a socket that is closed then still listens there.

Change: Door.reopen resets what is open and keeps the listening socket; a door that was closed for long is opened. FlagFleet.restart calls it.

--- a/fleet/lab/src/main/java/barleyfall/lab/net/Door.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/net/Door.java
@@ -75,6 +75,19 @@
         link.reset();
     }
 
+    /**
+     * Open again after its party has been away: what was open is reset. A door that stands keeps its socket: a
+     * process that is started just then holds a copy of it until its own program runs (fork, then exec), and
+     * the address of a socket that was closed meanwhile is taken for as long.
+     */
+    public void reopen() throws IOException {
+        if (channel == null) {
+            open();
+        } else {
+            link.reset();
+        }
+    }
+
     /** Whether new connections come up, or silently don't. */
     void pass(boolean passable) {
         Channel c = channel;
--- a/fleet/lab/src/main/java/barleyfall/lab/standin/FlagFleet.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/standin/FlagFleet.java
@@ -153,8 +153,7 @@
         run(s, () -> s.server.start(true));
         double born = clock.now();
         for (Door d : s.doors) {
-            d.close();
-            d.open();
+            d.reopen();
         }
         catalog.whenAdded(() -> catalog.change(s.server.machine(), "active", born));
     }
--- a/fleet/lab/src/test/java/barleyfall/lab/net/LinkTest.java
+++ b/fleet/lab/src/test/java/barleyfall/lab/net/LinkTest.java
@@ -17,6 +17,7 @@
 import java.net.Socket;
 import java.net.SocketException;
 import java.net.SocketTimeoutException;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -149,6 +150,41 @@
         assertThrows(java.net.ConnectException.class, this::connect);
     }
 
+    /** A process that starts holds copies of all sockets for a moment, also of those that are closed then. */
+    @Test void aPartyIsBackAtItsAddressWhileProcessesStart() throws Exception {
+        AtomicBoolean end = new AtomicBoolean();
+        Thread starts = new Thread(() -> {
+            while (!end.get()) {
+                try {
+                    new ProcessBuilder("true").start().waitFor();
+                } catch (IOException | InterruptedException e) {
+                    throw new IllegalStateException(e);
+                }
+            }
+        });
+        starts.start();
+        try (Socket open = connect()) {
+            for (int i = 0; i < 200; i++) {
+                door.reopen();
+                Thread.sleep(1); // so that some meet a start
+            }
+            assertThrows(SocketException.class, () -> {
+                while (echo(open) >= 0) {
+                    Thread.yield();
+                }
+            });
+            try (Socket next = connect()) {
+                assertEquals('x', echo(next));
+            }
+        } finally {
+            end.set(true);
+            starts.join();
+        }
+        door.close();
+        door.reopen();
+        connect().close();
+    }
+
     @Test void datagramsAreLostByTheShareAndComeFromTheOthersAddress() throws Exception {
         InetSocketAddress a = addresses.edge(1);
         InetSocketAddress b = addresses.edge(2);
