--- a/fleet/cli/src/main/java/barleyfall/cli/Demo.java
+++ b/fleet/cli/src/main/java/barleyfall/cli/Demo.java
@@ -1,7 +1,7 @@
 package barleyfall.cli;
 
 import barleyfall.lab.experiment.ExperimentReader;
-import barleyfall.lab.experiment.Misstated;
+import barleyfall.common.toml.Misstated;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
--- a/fleet/cli/src/main/java/barleyfall/cli/LabCommand.java
+++ b/fleet/cli/src/main/java/barleyfall/cli/LabCommand.java
@@ -2,7 +2,6 @@
 
 import barleyfall.lab.experiment.Experiment;
 import barleyfall.lab.experiment.ExperimentReader;
-import barleyfall.lab.experiment.Misstated;
 import barleyfall.lab.plan.Plan;
 import barleyfall.lab.result.Compare;
 import barleyfall.lab.result.Follow;
@@ -12,6 +11,7 @@
 import barleyfall.lab.run.LabLog;
 import barleyfall.lab.run.LabRun;
 import barleyfall.lab.run.Project;
+import barleyfall.common.toml.Misstated;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.time.LocalDateTime;
--- /dev/null
+++ b/fleet/common/src/main/java/barleyfall/common/log/package-info.java
@@ -0,0 +1,2 @@
+/** Structured logs. */
+package barleyfall.common.log;
--- a/fleet/common/src/main/java/barleyfall/common/toml/Misstated.java
+++ b/fleet/common/src/main/java/barleyfall/common/toml/Misstated.java
@@ -1,4 +1,4 @@
-package barleyfall.lab.experiment;
+package barleyfall.common.toml;
 
 import java.util.List;
 
--- a/fleet/common/src/main/java/barleyfall/common/toml/Table.java
+++ b/fleet/common/src/main/java/barleyfall/common/toml/Table.java
@@ -1,4 +1,4 @@
-package barleyfall.lab.experiment;
+package barleyfall.common.toml;
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -6,7 +6,10 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.Function;
+import org.tomlj.Toml;
 import org.tomlj.TomlArray;
+import org.tomlj.TomlParseResult;
 import org.tomlj.TomlPosition;
 import org.tomlj.TomlTable;
 
@@ -14,7 +17,7 @@
  * A table of the file while it is read: each key asked for is known, and what no one asked for is refused at
  * the end. Mistakes are gathered, so that one reading names all of them.
  */
-final class Table {
+public final class Table {
     private final String file;
     private final String path;
     private final TomlTable table;
@@ -23,7 +26,7 @@
     private final Set<String> known = new TreeSet<>();
     private final List<Table> inner = new ArrayList<>();
 
-    Table(String file, String path, TomlTable table, int line, List<String> problems) {
+    private Table(String file, String path, TomlTable table, int line, List<String> problems) {
         this.file = file;
         this.path = path;
         this.table = table;
@@ -31,12 +34,32 @@
         this.problems = problems;
     }
 
-    int line() {
+    /** The line of its head in the file. */
+    public int line() {
         return line;
     }
 
+    /**
+     * Reads a text by a reader of its top table; the file is for messages only. Throws with one line for each
+     * mistake, none of them taken for something else, a key that the reader never asked for among them.
+     */
+    public static <T> T read(String file, String text, Function<Table, T> reader) throws Misstated {
+        TomlParseResult parsed = Toml.parse(text);
+        if (parsed.hasErrors()) {
+            throw new Misstated(parsed.errors().stream()
+                .map(e -> file + ":" + e.position().line() + ": " + e.getMessage()).toList());
+        }
+        Table top = new Table(file, "", parsed, 1, new ArrayList<>());
+        T read = reader.apply(top);
+        top.refuseRest();
+        if (!top.problems.isEmpty()) {
+            throw new Misstated(top.problems);
+        }
+        return read;
+    }
+
     /** Notes a mistake at a key of this table, or at the table itself where the key is absent. */
-    void wrong(String key, String what) {
+    public void wrong(String key, String what) {
         problems.add(file + ":" + lineOf(key) + ": " + (path.isEmpty() ? "" : path + ".") + key + ": "
             + what);
     }
@@ -46,7 +69,8 @@
         return at == null ? line : at.line();
     }
 
-    boolean has(String key) {
+    /** Whether the file states that key here. */
+    public boolean has(String key) {
         known.add(key);
         return table.contains(List.of(key));
     }
@@ -56,7 +80,8 @@
         return table.get(List.of(key));
     }
 
-    double number(String key, Units.Kind kind, double other) {
+    /** A figure of that kind; another where the file has none. */
+    public double number(String key, Units.Kind kind, double other) {
         Object stated = get(key);
         if (stated == null) {
             return other;
@@ -69,7 +94,8 @@
         }
     }
 
-    double needed(String key, Units.Kind kind) {
+    /** A figure that the file must state. */
+    public double needed(String key, Units.Kind kind) {
         if (!has(key)) {
             wrong(key, "is missing");
             return 0;
@@ -77,7 +103,8 @@
         return number(key, kind, 0);
     }
 
-    int whole(String key, int other, int least, int most) {
+    /** A whole number within bounds. */
+    public int whole(String key, int other, int least, int most) {
         double value = number(key, Units.Kind.NUMBER, other);
         if (value != Math.rint(value) || value < least || value > most) {
             wrong(key, "a whole number from " + least + " to " + most + " expected, found " + value);
@@ -86,7 +113,8 @@
         return (int) value;
     }
 
-    boolean flag(String key, boolean other) {
+    /** True or false. */
+    public boolean flag(String key, boolean other) {
         Object stated = get(key);
         if (stated != null && !(stated instanceof Boolean)) {
             wrong(key, "true or false expected, found " + stated);
@@ -95,7 +123,8 @@
         return stated == null ? other : (Boolean) stated;
     }
 
-    String text(String key, String other) {
+    /** A text. */
+    public String text(String key, String other) {
         Object stated = get(key);
         if (stated != null && !(stated instanceof String)) {
             wrong(key, "a text expected, found " + stated);
@@ -104,7 +133,8 @@
         return stated == null ? other : (String) stated;
     }
 
-    String oneOf(String key, String other, Set<String> words) {
+    /** One of some words; without another, one that the file must state. */
+    public String oneOf(String key, String other, Set<String> words) {
         String word = text(key, other);
         if (word == null) {
             wrong(key, "is missing, one of " + new TreeSet<>(words));
@@ -116,7 +146,8 @@
         return word;
     }
 
-    List<String> words(String key, List<String> other) {
+    /** A list of texts, each once. */
+    public List<String> words(String key, List<String> other) {
         Object stated = get(key);
         if (stated == null) {
             return other;
@@ -137,10 +168,10 @@
     }
 
     /** One figure, or two from low to high. */
-    Experiment.Range range(String key, Units.Kind kind, double from, double to) {
+    public Range range(String key, Units.Kind kind, double from, double to) {
         Object stated = get(key);
         if (stated == null) {
-            return new Experiment.Range(from, to);
+            return new Range(from, to);
         }
         try {
             if (stated instanceof TomlArray array) {
@@ -152,27 +183,28 @@
                 if (low > high) {
                     throw new IllegalArgumentException("the first figure is above the second");
                 }
-                return new Experiment.Range(low, high);
+                return new Range(low, high);
             }
             double value = Units.read(stated, kind);
-            return new Experiment.Range(value, value);
+            return new Range(value, value);
         } catch (IllegalArgumentException bad) {
             wrong(key, bad.getMessage());
-            return new Experiment.Range(from, to);
+            return new Range(from, to);
         }
     }
 
     /** A table inside this one; an empty one where the file has none. */
-    Table table(String key) {
+    public Table table(String key) {
         Object stated = get(key);
         if (stated != null && !(stated instanceof TomlTable)) {
             wrong(key, "a table expected");
         }
-        TomlTable found = stated instanceof TomlTable t ? t : org.tomlj.Toml.parse("");
+        TomlTable found = stated instanceof TomlTable t ? t : Toml.parse("");
         return keep(new Table(file, join(key), found, stated == null ? line : lineOf(key), problems));
     }
 
-    List<Table> tables(String key) {
+    /** Tables in a list, [[so]]. */
+    public List<Table> tables(String key) {
         List<Table> all = new ArrayList<>();
         Object stated = get(key);
         if (stated instanceof TomlArray array
@@ -187,7 +219,8 @@
         return all;
     }
 
-    Map<String, List<String>> lists(String key) {
+    /** A table of lists of texts. */
+    public Map<String, List<String>> lists(String key) {
         Table t = table(key);
         Map<String, List<String>> all = new LinkedHashMap<>();
         t.table.keySet().forEach(name -> all.put(name, t.words(name, List.of())));
@@ -204,7 +237,7 @@
     }
 
     /** Refuses every key that was never asked for, here and within. */
-    void refuseRest() {
+    private void refuseRest() {
         for (String key : table.keySet()) {
             if (!known.contains(key)) {
                 wrong(key, "no such key; known here: " + known);
--- a/fleet/lab/src/main/java/barleyfall/lab/experiment/Experiment.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/experiment/Experiment.java
@@ -1,5 +1,6 @@
 package barleyfall.lab.experiment;
 
+import barleyfall.common.toml.Range;
 import java.util.List;
 import java.util.Map;
 
@@ -11,14 +12,6 @@
     Delays delays, Limits limits, Servers servers, Counter counter, Discovery discovery, Load load,
     List<Plan> plans, List<RequestClass> classes, List<Fault> faults, List<Expectation> expectations) {
 
-    /** From a to b, both included; a is at most b. */
-    public record Range(double from, double to) {
-        /** The value that lies this share (0 to 1) of the way. */
-        public double at(double share) {
-            return from + (to - from) * share;
-        }
-    }
-
     /** Zones are dealt to edge nodes and flag servers in turn; each zone belongs to one region at most. */
     public record Topology(int edges, int servers, List<String> zones, Map<String, List<String>> regions) {
         /** The region of a zone, or its own name where none is stated. */
--- a/fleet/lab/src/main/java/barleyfall/lab/experiment/ExperimentReader.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/experiment/ExperimentReader.java
@@ -1,5 +1,8 @@
 package barleyfall.lab.experiment;
 
+import barleyfall.common.toml.Misstated;
+import barleyfall.common.toml.Table;
+import barleyfall.common.toml.Units;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -9,8 +12,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import org.tomlj.Toml;
-import org.tomlj.TomlParseResult;
 
 /** Reads an experiment's file; nothing of it is played unless all of it can be. */
 public final class ExperimentReader {
@@ -26,7 +27,6 @@
     private static final int MOST_SERVERS = 1000;
     private static final double LONGEST = 3_600_000;
 
-    private final List<String> problems = new ArrayList<>();
     private final String file;
 
     private ExperimentReader(String file) {
@@ -40,17 +40,7 @@
 
     /** The same for a text; the file is for its messages only. */
     public static Experiment parse(String file, String text) throws Misstated {
-        TomlParseResult parsed = Toml.parse(text);
-        if (parsed.hasErrors()) {
-            throw new Misstated(parsed.errors().stream()
-                .map(e -> file + ":" + e.position().line() + ": " + e.getMessage()).toList());
-        }
-        ExperimentReader reader = new ExperimentReader(file);
-        Experiment read = reader.all(new Table(file, "", parsed, 1, reader.problems));
-        if (!reader.problems.isEmpty()) {
-            throw new Misstated(reader.problems);
-        }
-        return read;
+        return Table.read(file, text, new ExperimentReader(file)::all);
     }
 
     private Experiment all(Table t) {
@@ -90,7 +80,6 @@
             expectations.add(expectation(e, length, faults, classes));
         }
         twice(t, faults.stream().map(Experiment.Fault::name).toList());
-        t.refuseRest();
         return new Experiment(file, title, length, seed, run, topology, delays, limits, servers, counter,
             discovery,
             load, plans, classes, faults, expectations);
--- a/fleet/lab/src/main/java/barleyfall/lab/experiment/Faults.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/experiment/Faults.java
@@ -1,5 +1,7 @@
 package barleyfall.lab.experiment;
 
+import barleyfall.common.toml.Table;
+import barleyfall.common.toml.Units;
 import java.util.Map;
 import java.util.Set;
 
--- a/fleet/lab/src/main/java/barleyfall/lab/experiment/Selector.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/experiment/Selector.java
@@ -1,5 +1,6 @@
 package barleyfall.lab.experiment;
 
+import barleyfall.common.toml.Units;
 import java.util.Locale;
 import java.util.Set;
 
--- a/fleet/lab/src/main/java/barleyfall/lab/net/Door.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/net/Door.java
@@ -76,9 +76,9 @@
     }
 
     /**
-     * Open again after its party has been away: what was open is reset. A door that stands keeps its socket: a
-     * process that is started just then holds a copy of it until its own program runs (fork, then exec), and
-     * the address of a socket that was closed meanwhile is taken for as long.
+     * Open again after its party has been away: what was open is reset. A door that stands keeps its socket:
+     * a process that is started just then holds a copy of it until its own program runs (fork, then exec),
+     * and the address of a socket that was closed meanwhile is taken for as long.
      */
     public void reopen() throws IOException {
         if (channel == null) {
--- a/fleet/lab/src/main/java/barleyfall/lab/plan/Plan.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/plan/Plan.java
@@ -2,6 +2,7 @@
 
 import barleyfall.lab.experiment.Experiment;
 import barleyfall.lab.experiment.Selector;
+import barleyfall.common.toml.Range;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.util.ArrayList;
@@ -69,7 +70,7 @@
     public double delay(String pair, String from, String to) {
         Experiment.Topology t = experiment.topology();
         Experiment.Delays d = experiment.delays();
-        Experiment.Range range = from.equals(to) ? d.sameZone()
+        Range range = from.equals(to) ? d.sameZone()
             : t.region(from).equals(t.region(to)) ? d.crossZone() : d.crossRegion();
         return range.at(streams.of("delay " + pair).nextDouble());
     }
--- a/fleet/lab/src/test/java/barleyfall/lab/Experiments.java
+++ b/fleet/lab/src/test/java/barleyfall/lab/Experiments.java
@@ -2,7 +2,7 @@
 
 import barleyfall.lab.experiment.Experiment;
 import barleyfall.lab.experiment.ExperimentReader;
-import barleyfall.lab.experiment.Misstated;
+import barleyfall.common.toml.Misstated;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
--- a/fleet/lab/src/test/java/barleyfall/lab/experiment/ExperimentReaderTest.java
+++ b/fleet/lab/src/test/java/barleyfall/lab/experiment/ExperimentReaderTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import barleyfall.common.toml.Misstated;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
