--- a/fleet/lab/src/main/java/barleyfall/lab/process/AddressBlock.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/process/AddressBlock.java
@@ -16,6 +16,9 @@
     private static final int CLAIM_PORT = 7400;
     private static final int HOSTS = 240;
     private static final int FIRST_HOST = 10;
+    private static final int FIRST_REPLICA = 4;
+    /** Behind all edge nodes. */
+    private static final int REPLICAS_AT = 240;
 
     private final int block;
     private final ServerSocket claim;
@@ -67,6 +70,26 @@
         return at(edge, 3, 6400);
     }
 
+    /** Where it finds a replica of the list service. */
+    public InetSocketAddress replica(int edge, int replica) {
+        return at(edge, FIRST_REPLICA + replica, 8500);
+    }
+
+    /** Where a replica of the list service serves; the lab's own doors lead there. */
+    public InetSocketAddress replicaHttp(int replica) {
+        return at(-1, FIRST_HOST + replica, 8500);
+    }
+
+    /** Where it talks with the other replicas. */
+    public InetSocketAddress replicaRaft(int replica) {
+        return at(-1, FIRST_HOST + replica, 9870);
+    }
+
+    /** Where one replica finds another. */
+    public InetSocketAddress replicaRaft(int from, int to) {
+        return at(REPLICAS_AT + from, FIRST_HOST + to, 9870);
+    }
+
     /** Where it finds the flag server on the machine of that number. */
     public InetSocketAddress server(int edge, int machine) {
         return at(edge, FIRST_HOST + machine % HOSTS, 6379 + machine / HOSTS);
--- a/fleet/lab/src/main/java/barleyfall/lab/process/EdgeProcess.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/process/EdgeProcess.java
@@ -7,58 +7,46 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Comparator;
-import java.util.List;
+import java.util.HashMap;
 import java.util.Map;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
-import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/**
- * One edge node: a process started by the deploy file's {@code run}, in a folder of its own. It ends when
- * the lab does: the kernel kills it with the thread that started it (PR_SET_PDEATHSIG), however the lab
- * ends.
- */
-public final class EdgeProcess {
+/** One edge node: a process started by the deploy file's {@code run}, in a folder of its own. */
+public final class EdgeProcess extends Child {
     private static final Logger LOG = LoggerFactory.getLogger(EdgeProcess.class);
-    /** Without these, root heeds the modes of files as others do, so that a read-only folder is one. */
-    private static final String NO_OVERRIDE = "-dac_override,-dac_read_search";
-
-    /** Behind the lab's own threads: what is late for want of a core should be an edge node, not the load. */
-    private static final String NICE = "5";
 
     private final int number;
     private final Path root;
     private final String run;
     private final Path folder;
     private final int descriptors;
-    private final LabClock clock;
-    private final ExecutorService spawner;
-    private final Signaller signaller;
-    private final Consumer<Seen> trace;
-    private volatile Process process;
-    private volatile CompletableFuture<Void> exited = CompletableFuture.completedFuture(null);
-    private volatile boolean stopped;
-    private volatile boolean held;
+    private final BiConsumer<String, String> saw;
     private int starts;
     private volatile String fileLimit = "";
 
     /** Spawner: a thread that lives as long as the run, as what it starts ends with it. */
     public EdgeProcess(int number, Path root, String run, Path folder, int descriptors, LabClock clock,
         ExecutorService spawner, Signaller signaller, Consumer<Seen> trace) {
+        this(number, root, run, folder, descriptors, spawner, signaller, (what, text) -> {
+            LOG.info("n{} {} {}", number, what, text);
+            trace.accept(new Seen.Edge(clock.now(), number, what, text));
+        });
+    }
+
+    private EdgeProcess(int number, Path root, String run, Path folder, int descriptors,
+        ExecutorService spawner, Signaller signaller, BiConsumer<String, String> saw) {
+        super("n" + number, spawner, signaller, saw);
         this.number = number;
         this.root = root;
         this.run = run;
         this.folder = folder;
         this.descriptors = descriptors;
-        this.clock = clock;
-        this.spawner = spawner;
-        this.signaller = signaller;
-        this.trace = trace;
+        this.saw = saw;
     }
 
     /** Where its files are: config.json, tmp, and what it keeps. */
@@ -66,11 +54,6 @@
         return folder;
     }
 
-    /** The process of its last start, or null. */
-    public Process process() {
-        return process;
-    }
-
     /** The number it goes by. */
     public int number() {
         return number;
@@ -88,37 +71,10 @@
         Files.createDirectories(tmp);
         Files.writeString(folder.resolve("config.json"), config);
         File log = folder.resolve("log-" + ++starts + ".txt").toFile();
-        boolean root0 = "root".equals(System.getProperty("user.name"));
-        List<String> command = root0
-            ? List.of("nice", "-n", NICE, "setpriv", "--pdeathsig", "KILL", "--bounding-set",
-            NO_OVERRIDE, "/bin/sh", "-c",
-            shell())
-            : List.of("nice", "-n", NICE, "setpriv", "--pdeathsig", "KILL", "/bin/sh", "-c", shell());
-        ProcessBuilder builder = new ProcessBuilder(command).directory(this.root.toFile())
-            .redirectErrorStream(true).redirectOutput(log).redirectInput(new File("/dev/null"));
-        builder.environment().put("TMPDIR", tmp.toString());
-        builder.environment().put("EDGE_CONFIG", folder.resolve("config.json").toString());
-        builder.environment().putAll(environment);
-        try {
-            process = spawner.submit(builder::start).get();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            throw new IOException("interrupted while starting n" + number, e);
-        } catch (ExecutionException e) {
-            throw new IOException("cannot start n" + number + " (util-linux's setpriv is needed): "
-                + e.getCause().getMessage(), e);
-        }
-        stopped = false;
-        held = false;
-        Process started = process;
-        saw("started", "pid " + started.pid());
-        // one future for all who wait, so that the end is on record before whatever comes after it
-        exited = started.onExit()
-            .thenAccept(p -> saw("exit", "exit code " + p.exitValue() + ", log " + log.getName()));
-    }
-
-    private String shell() {
-        return "ulimit -n " + descriptors + "; " + fileLimit + run;
+        Map<String, String> all = new HashMap<>(environment);
+        all.put("TMPDIR", tmp.toString());
+        all.put("EDGE_CONFIG", folder.resolve("config.json").toString());
+        start("ulimit -n " + descriptors + "; " + fileLimit + run, root.toFile(), all, log);
     }
 
     private static void empty(Path dir) throws IOException {
@@ -132,77 +88,8 @@
         }
     }
 
-    private void saw(String what, String text) {
-        LOG.info("n{} {} {}", number, what, text);
-        trace.accept(new Seen.Edge(clock.now(), number, what, text));
-    }
-
-    /** Whether its process runs. */
-    public boolean isAlive() {
-        return process != null && process.isAlive();
-    }
-
-    /** SIGKILL; returns when it has ended. */
-    public void kill() {
-        if (isAlive()) {
-            saw("kill", "");
-            process.destroyForcibly();
-            exited.join();
-        }
-    }
-
-    /** SIGTERM; done when it has ended. */
-    public CompletableFuture<Void> term() {
-        saw("term", "");
-        process.destroy();
-        return exited;
-    }
-
-    /** SIGTERM, and SIGKILL where it has not ended in so many ms. */
-    public void termOrKill(double ms) {
-        if (!isAlive()) {
-            return;
-        }
-        try {
-            term().get((long) ms, TimeUnit.MILLISECONDS);
-        } catch (java.util.concurrent.TimeoutException late) {
-            kill();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            kill();
-        } catch (ExecutionException e) {
-            throw new IllegalStateException(e);
-        }
-    }
-
-    /** SIGSTOP, until {@link #goOn}. */
-    public void stop() {
-        stopped = true;
-        saw("stop", "");
-        signaller.send("STOP", process);
-    }
-
-    /** SIGCONT. */
-    public void goOn() {
-        stopped = false;
-        saw("cont", "");
-        if (!held) {
-            signaller.send("CONT", process);
-        }
-    }
-
-    /** Held back by its CPU limit, or not; a fault that has stopped it is stronger. */
-    void hold(boolean hold) {
-        if (hold != held) {
-            held = hold;
-            if (!stopped) {
-                signaller.send(hold ? "STOP" : "CONT", process);
-            }
-        }
-    }
-
     /** Notes that it went over a limit. */
     void overLimit(String text) {
-        saw("over-limit", text);
+        saw.accept("over-limit", text);
     }
 }
