--- a/fleet/cli/src/main/java/barleyfall/cli/Main.java
+++ b/fleet/cli/src/main/java/barleyfall/cli/Main.java
@@ -6,7 +6,7 @@
 /** {@code bin/barleyfall}. */
 @Command(name = "barleyfall", mixinStandardHelpOptions = true, version = "barleyfall 0.1.0",
     description = "Edge nodes for shared flag servers: the fleet around them.",
-    subcommands = {LabCommand.class, Demo.class},
+    subcommands = {LabCommand.class, CatalogCommand.class, Demo.class},
     exitCodeListHeading = "%nExit codes:%n",
     exitCodeList = {"0:good", "1:an expectation failed, a rule was broken or the run does not count",
         "2:wrong use: words, files or a machine that lacks something"})
