Let the edge node that answers twice do so in one write, as a later answer meets the next

Cause: BrokenRuleTest failed once in a full run: beside "answers" it found one "repeats". The second answer came in a write of its own, and where the client's next request was on that connection by then, it was read as that request's answer; its attempt was then sent after it had been answered, which is what the rule says.

Change: both answers go out in one write, so that the second finds no request open.

--- a/fleet/lab/src/main/java/barleyfall/lab/edge/StandInEdge.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/edge/StandInEdge.java
@@ -89,10 +89,8 @@
                     return; // the connection ends, and with it the request
                 }
                 String answer = answer(words, number, upstream);
-                say(client, answer);
-                if (fault == Break.TWO_ANSWERS && number % EVERY == 0) {
-                    say(client, answer);
-                }
+                // both in one write: a second one that comes later may meet, and answer, the next request
+                say(client, fault == Break.TWO_ANSWERS && number % EVERY == 0 ? answer + answer : answer);
             }
         } catch (IOException gone) {
             // the client has left, or a flag server's connection broke under a request that it ends with
