Take the list from several replicas, never back in version, and doubt a list that lost most

Change: discovery may be a list of addresses (EDGE_DISCOVERY with commas); Discovery goes on at the next one with a wait of its own for each node, holds epoch and version, and asks anew where the module does not believe a whole list. Whether to believe is decided in the module (believes): a list with a source that lost more than half is believed of a second replica, or after 4 s; who is told to have left is gone, as drains are honoured. A list without an epoch, as the platform's agent tells it, is taken as before.

--- a/src/main/java/willowyoke/Decide.java
+++ b/src/main/java/willowyoke/Decide.java
@@ -71,11 +71,12 @@
     private final PriorityQueue<Timer> timers =
         new PriorityQueue<>(Comparator.<Timer>comparingDouble(t -> t.at).thenComparingLong(t -> t.serial));
     private double armed = Double.MAX_VALUE, warmRate, meanAim, longestAim, sentWarm;
-    private double counterSilentUntil, usuallyInside = 1, silentSince;
+    private double counterSilentUntil, usuallyInside = 1, silentSince, doubtedAt;
     private int misses, up;
     private List<Host> split = List.of();
     private int own; // how many of these are this gateway's own: counted with the list, not with each send
     private Gateway.Settings splitFor;
+    private Gateway.Source doubted; // who told a list that is not believed yet
     private long edges;
     private double paceRate, paceCredit, pacedAt, paceWake, askRate, askedInPeriod;
     private final Set<Customer> active = new LinkedHashSet<>();
@@ -275,6 +276,21 @@
         pump();
     }
 
+    /**
+     * A replica that forgot may tell a list that lost more than half at once: what serves is kept until a second
+     * one tells so too, or the same one after a while. Who is told to have left is gone: drains are honoured.
+     */
+    @Override public boolean believes(double time, List<Gateway.Server> list, Gateway.Source source) {
+        Set<String> told = new HashSet<>(list.stream().map(Gateway.Server::id).toList());
+        if (source == null || 2 * split.stream().filter(h -> !told.contains(h.id)).count() <= split.size()) {
+            doubted = null;
+        } else if (doubted == null) {
+            doubted = source;
+            doubtedAt = time;
+        }
+        return doubted == null || !doubted.replica().equals(source.replica()) || time >= doubtedAt + FORGET;
+    }
+
     /** The servers in use may have changed: the parts follow, and what is new takes its turn last. */
     private void countUp() {
         List<Host> used = hosts.values().stream().filter(h -> h.up && !h.detached).toList();
--- a/src/main/java/willowyoke/Gateway.java
+++ b/src/main/java/willowyoke/Gateway.java
@@ -57,6 +57,9 @@
     record Server(String id, int cell, String zone, State state, String kind, double startedAt,
         double weight) { }
 
+    /** Who has told a list that carries an epoch: the replica, and the epoch and version that it is at. */
+    record Source(String replica, long epoch, long version) { }
+
     /** A request as it arrived. */
     record Request(long id, String type, String plan, String customer, double patience, int units,
         int spread, int first, boolean again) { }
@@ -66,6 +69,12 @@
         /** The list of servers: all of it, or the changed ones only. */
         void servers(double now, List<Server> list, boolean whole);
 
+        /**
+         * Whether to take a whole list; source: who told it, null where that is the platform's agent. Where it
+         * is not to be taken, the host asks the next source for all of its list.
+         */
+        boolean believes(double now, List<Server> list, Source source);
+
         /** A call to discovery failed or the subscription dropped. */
         void discoveryFailed(double now);
 
--- a/src/main/java/willowyoke/net/Config.java
+++ b/src/main/java/willowyoke/net/Config.java
@@ -18,11 +18,12 @@
 import willowyoke.SettingsReader;
 
 /**
- * What this edge node is told at its start. The times are milliseconds; counter, control and known are null
+ * What this edge node is told at its start. The times are milliseconds; discovery: where its list is told, one
+ * address or those of the replicas of one list service; counter, control and known are null
  * where the file has none; inherited: the listening socket stands open as descriptor 0; shared: the folder
  * that the process which replaces this one finds too, or null; root: the file as it was read.
  */
-public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery,
+public record Config(String name, InetSocketAddress listen, List<InetSocketAddress> discovery,
     InetSocketAddress counter, InetSocketAddress control, boolean inherited, Path shared, long seed,
     int sockets, JsonNode known, Gateway.Settings settings, double keepAlive, double connectTimeout,
     JsonNode root) {
@@ -102,7 +103,7 @@
         String control = env.getOrDefault("EDGE_CONTROL", root.path("control").asText(""));
         return new Config(text(env, "EDGE_NAME", root, "name"),
             address(text(env, "EDGE_LISTEN", root, "listen")),
-            address(text(env, "EDGE_DISCOVERY", root, "discovery")),
+            addresses(env.get("EDGE_DISCOVERY"), root.path("discovery")),
             counter.isEmpty() ? null : address(counter),
             control.isEmpty() ? null : address(control),
             inherited(env.getOrDefault("EDGE_SOCKET_FD", "")),
@@ -129,6 +130,22 @@
         return value;
     }
 
+    /** One address or a list of them; those of the variable, with commas between, win. */
+    private static List<InetSocketAddress> addresses(String variable, JsonNode stated) {
+        List<String> texts = new ArrayList<>();
+        if (variable != null && !variable.isEmpty()) {
+            texts.addAll(List.of(variable.split(",")));
+        } else if (stated.isArray()) {
+            stated.forEach(each -> texts.add(each.asText()));
+        } else if (!stated.asText("").isEmpty()) {
+            texts.add(stated.asText());
+        }
+        if (texts.isEmpty()) {
+            throw new IllegalArgumentException("neither EDGE_DISCOVERY nor 'discovery' is set");
+        }
+        return texts.stream().map(Config::address).distinct().toList();
+    }
+
     private static long seed(String hex) {
         try {
             return Long.parseUnsignedLong(hex, 16);
--- a/src/main/java/willowyoke/net/Discovery.java
+++ b/src/main/java/willowyoke/net/Discovery.java
@@ -25,10 +25,16 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import willowyoke.Gateway;
 
-/** The list of app servers: the one told at the start, the whole list, then a watch that is kept alive. */
+/**
+ * The list of app servers: the one told at the start, the whole list, then a watch that is kept alive. Where
+ * there are several addresses, they are replicas of one list: the watch goes on at the next one when this one is
+ * silent, refuses, is behind what is known, or says that its list is old. No list ever goes back in version,
+ * unless it says that a new epoch has begun.
+ */
 final class Discovery {
     private static final String PATH = "/catalog/members";
     /** A watch sends a line every 2 s: one that is silent for longer (ms) is dead. */
@@ -45,17 +51,24 @@
 
     private final Node node;
     private final Bootstrap bootstrap;
+    private final Random random;
     private final CompletableFuture<Void> ready = new CompletableFuture<>();
-    private InetSocketAddress address;
+    private List<InetSocketAddress> addresses;
+    private int at;
+    private int old; // so many in a row have said that their list is
     private Channel channel;
     private long seq = -1;
+    private long epoch; // 0: this list has none
+    private boolean anew; // a list was not believed: the next source is asked for all of its own
     private double heardAt;
     private double backoff = BACKOFF;
     private boolean connecting;
 
-    Discovery(Node node, EventLoopGroup group, InetSocketAddress address) {
+    Discovery(Node node, EventLoopGroup group, List<InetSocketAddress> addresses, long seed) {
         this.node = node;
-        this.address = address;
+        this.addresses = addresses;
+        random = new Random(seed);
+        at = random.nextInt(addresses.size()); // or all nodes would stand at the first one
         bootstrap = new Bootstrap().group(group).channel(Transport.socket())
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT);
     }
@@ -74,10 +87,11 @@
         check();
     }
 
-    /** Goes on at another address, from the version that is known. */
-    void move(InetSocketAddress to) {
-        if (!to.equals(address)) {
-            address = to;
+    /** Goes on at other addresses, from the version that is known. */
+    void move(List<InetSocketAddress> to) {
+        if (!to.equals(addresses)) {
+            addresses = to;
+            at %= to.size();
             if (channel != null) {
                 channel.close(); // renewed at the new one
             }
@@ -107,7 +121,7 @@
             @Override protected void initChannel(SocketChannel c) {
                 c.pipeline().addLast(new HttpClientCodec(), new Lines());
             }
-        }).connect(address).addListener(f -> {
+        }).connect(addresses.get(at)).addListener(f -> {
             if (!f.isSuccess()) {
                 connecting = false;
                 again();
@@ -115,18 +129,26 @@
         });
     }
 
+    /** The next address; with a wait of its own for each node, or all would come in one step. */
     private void again() {
-        node.after(backoff, this::connect);
+        at = (at + 1) % addresses.size();
+        node.after(backoff * (0.5 + random.nextDouble()), this::connect);
         backoff = Math.min(2 * backoff, BACKOFF_MOST);
         node.discoveryFailed();
         node.flush();
     }
 
-    /** Takes a list or a change of it; false where it cannot be understood. */
+    /** Takes a list or a change of it; false where it cannot be understood, or goes back in version. */
     private boolean take(JsonNode told) {
         if (!told.path("hosts").isArray()) {
             return false;
         }
+        long era = told.path("epoch").asLong();
+        if (era > 0 && (era < epoch || era == epoch && told.path("seq").asLong() < seq)) {
+            node.log("discovery", new IllegalStateException(addresses.get(at) + " is behind: epoch " + era
+                + ", version " + told.path("seq").asLong() + ", where " + epoch + ", " + seq + " is known"));
+            return false;
+        }
         List<Member> members = new ArrayList<>();
         for (JsonNode h : told.get("hosts")) {
             try {
@@ -135,8 +157,13 @@
                 node.log("discovery", e); // the others are of use
             }
         }
+        if (!node.listed(members, told.path("whole").asBoolean(), era == 0 ? null
+            : new Gateway.Source(addresses.get(at).toString(), era, told.path("seq").asLong()))) {
+            anew = true;
+            return false;
+        }
         seq = told.path("seq").asLong(seq);
-        node.listed(members, told.path("whole").asBoolean());
+        epoch = era;
         return true;
     }
 
@@ -166,10 +193,11 @@
 
         private void ask(ChannelHandlerContext ctx) {
             heardAt = node.now();
-            watching = seq >= 0;
+            watching = seq >= 0 && !anew;
             DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
-                watching ? PATH + "?follow=1&since=" + seq : PATH);
-            request.headers().set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort());
+                watching ? PATH + "?follow=1&since=" + seq + (epoch > 0 ? "&epoch=" + epoch : "") : PATH);
+            InetSocketAddress to = addresses.get(at);
+            request.headers().set(HttpHeaderNames.HOST, to.getHostString() + ":" + to.getPort());
             ctx.writeAndFlush(request);
         }
 
@@ -185,7 +213,7 @@
                     in.readBytes(line, end < 0 ? in.readableBytes() : end);
                     if (end >= 0) {
                         in.skipBytes(1);
-                        line();
+                        line(ctx);
                     } else if (line.size() > LINE) {
                         ctx.close();
                     }
@@ -193,9 +221,9 @@
             }
             if (msg instanceof LastHttpContent) {
                 if (good && !watching && line.size() > 0) {
-                    line();
+                    line(ctx);
                 }
-                if (good && !watching && seq >= 0) {
+                if (good && !watching && seq >= 0 && !anew && ctx.channel().isActive()) {
                     ask(ctx); // the list is here; the watch goes on from it
                 } else {
                     ctx.close();
@@ -203,7 +231,7 @@
             }
         }
 
-        private void line() throws IOException {
+        private void line(ChannelHandlerContext ctx) throws IOException {
             byte[] text = line.toByteArray();
             line.reset();
             if (new String(text, java.nio.charset.StandardCharsets.UTF_8).isBlank()) {
@@ -211,9 +239,17 @@
                 ready.complete(null); // nothing has changed
                 return;
             }
-            if (take(Config.JSON.readTree(text))) {
+            JsonNode told = Config.JSON.readTree(text);
+            if (take(told)) {
+                anew = false;
                 backoff = BACKOFF;
                 ready.complete(null);
+            } else if (anew || addresses.size() > 1) {
+                ctx.close();
+            }
+            old = told.path("stale").asBoolean() ? old + 1 : 0;
+            if (old > 0 && old < addresses.size()) {
+                ctx.close(); // another may know more; where all are old, one of them is kept
             }
         }
 
--- a/src/main/java/willowyoke/net/Node.java
+++ b/src/main/java/willowyoke/net/Node.java
@@ -130,7 +130,7 @@
         servers = new ServerPool(this, group, config, (int) (config.sockets() * SERVERS));
         counter = new CounterClient(this, group, config.counter(), config.settings().allowed()
             .counterTimeout());
-        discovery = new Discovery(this, group, config.discovery());
+        discovery = new Discovery(this, group, config.discovery(), config.seed());
         detached = new Detached(config.shared());
         figures.classes(config.settings().classes());
     }
@@ -554,14 +554,21 @@
         tell(m -> m.counted(now(), name, outcome, took, total));
     }
 
-    /** The pool hears first, so that nothing that still waits for a connection goes to one that drains. */
-    void listed(List<Discovery.Member> members, boolean whole) {
-        servers.listed(members, whole);
+    /**
+     * The pool hears first, so that nothing that still waits for a connection goes to one that drains. False
+     * where the module does not believe the list: then nothing of it is taken.
+     */
+    boolean listed(List<Discovery.Member> members, boolean whole, Gateway.Source source) {
         List<Gateway.Server> list = new ArrayList<>(members.size());
         for (Discovery.Member m : members) {
             list.add(m.server());
         }
+        if (whole && !module.believes(now(), list, source)) {
+            return false;
+        }
+        servers.listed(members, whole);
         tell(m -> m.servers(now(), list, whole));
+        return true;
     }
 
     void discoveryFailed() {
--- a/src/test/java/willowyoke/FleetTest.java
+++ b/src/test/java/willowyoke/FleetTest.java
@@ -1,6 +1,7 @@
 package willowyoke;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
@@ -103,4 +104,26 @@
         b.module.servers(b.now, List.of(list.get(0)), true);
         assertEquals("s0", b.sentTo(100), "the only one left");
     }
+
+    /** A replica of the list service forgot most of the list: what serves is kept until another says so too. */
+    @Test void aListThatLostMoreThanHalfAtOnceIsBelievedOfTwoOrAfterAWhile() {
+        Bench b = Bench.plain().start().servers(10);
+        List<Gateway.Server> few = new ArrayList<>();
+        List<Gateway.Server> half = new ArrayList<>();
+        for (int i = 0; i < 5; i++) {
+            half.add(Bench.server(i, Gateway.State.UP, 0));
+        }
+        few.addAll(half.subList(0, 4));
+        Gateway.Source one = new Gateway.Source("one", 7, 40);
+        Gateway.Source other = new Gateway.Source("other", 7, 41);
+        assertTrue(b.module.believes(0, half, one), "half may be a deploy");
+        assertTrue(b.module.believes(0, List.of(), null), "the platform's agent is taken at its word");
+        assertFalse(b.module.believes(1000, few, one));
+        assertFalse(b.module.believes(1500, List.of(), one));
+        assertTrue(b.module.believes(2000, few, other), "two say so");
+        assertTrue(b.module.believes(2500, half, other), "it was none: the doubt is over");
+        assertFalse(b.module.believes(3000, few, other));
+        assertFalse(b.module.believes(6900, few, other));
+        assertTrue(b.module.believes(7000, few, other), "it has said so for 4 s");
+    }
 }
--- a/src/test/java/willowyoke/net/NodeTest.java
+++ b/src/test/java/willowyoke/net/NodeTest.java
@@ -42,6 +42,10 @@
             told.add(text.toString());
         }
 
+        @Override public boolean believes(double now, List<Gateway.Server> list, Gateway.Source source) {
+            return true;
+        }
+
         @Override public void discoveryFailed(double now) {
             told.add("discovery failed");
         }
--- a/src/test/java/willowyoke/net/Peer.java
+++ b/src/test/java/willowyoke/net/Peer.java
@@ -160,6 +160,11 @@
         return line;
     }
 
+    /** The next connection, or null where none has come yet. */
+    Line poll() {
+        return accepted.poll();
+    }
+
     @Override public void close() throws IOException {
         server.close();
         try {
