--- a/src/main/java/willowyoke/Gateway.java
+++ b/src/main/java/willowyoke/Gateway.java
@@ -70,8 +70,8 @@
         void servers(double now, List<Server> list, boolean whole);
 
         /**
-         * Whether to take a whole list; source: who told it, null where that is the platform's agent. Where it
-         * is not to be taken, the host asks the next source for all of its list.
+         * Whether to take a whole list; source: who told it, null where that is the platform's agent. Where
+         * it is not to be taken, the host asks the next source for all of its list.
          */
         boolean believes(double now, List<Server> list, Source source);
 
--- a/src/main/java/willowyoke/net/Config.java
+++ b/src/main/java/willowyoke/net/Config.java
@@ -18,8 +18,8 @@
 import willowyoke.SettingsReader;
 
 /**
- * What this edge node is told at its start. The times are milliseconds; discovery: where its list is told, one
- * address or those of the replicas of one list service; counter, control and known are null
+ * What this edge node is told at its start. The times are milliseconds; discovery: where its list is told,
+ * one address or those of the replicas of one list service; counter, control and known are null
  * where the file has none; inherited: the listening socket stands open as descriptor 0; shared: the folder
  * that the process which replaces this one finds too, or null; root: the file as it was read.
  */
--- a/src/main/java/willowyoke/net/Discovery.java
+++ b/src/main/java/willowyoke/net/Discovery.java
@@ -31,9 +31,9 @@
 
 /**
  * The list of app servers: the one told at the start, the whole list, then a watch that is kept alive. Where
- * there are several addresses, they are replicas of one list: the watch goes on at the next one when this one is
- * silent, refuses, is behind what is known, or says that its list is old. No list ever goes back in version,
- * unless it says that a new epoch has begun.
+ * there are several addresses, they are replicas of one list: the watch goes on at the next one when this one
+ * is silent, refuses, is behind what is known, or says that its list is old. No list ever goes back in
+ * version, unless it says that a new epoch has begun.
  */
 final class Discovery {
     private static final String PATH = "/catalog/members";
--- a/src/test/java/willowyoke/FleetTest.java
+++ b/src/test/java/willowyoke/FleetTest.java
@@ -105,7 +105,9 @@
         assertEquals("s0", b.sentTo(100), "the only one left");
     }
 
-    /** A replica of the list service forgot most of the list: what serves is kept until another says so too. */
+    /**
+     * A replica of the list service forgot most of the list: what serves is kept until another says so too.
+     */
     @Test void aListThatLostMoreThanHalfAtOnceIsBelievedOfTwoOrAfterAWhile() {
         Bench b = Bench.plain().start().servers(10);
         List<Gateway.Server> few = new ArrayList<>();
--- a/src/test/java/willowyoke/net/DiscoveryTest.java
+++ b/src/test/java/willowyoke/net/DiscoveryTest.java
@@ -83,7 +83,8 @@
             hosts.append(hosts.length() == 0 ? "" : ",").append("{\"host\":\"").append(id)
                 .append("\",\"dial\":\"127.0.0.1:9\",\"site\":\"a\",\"health\":\"active\"}");
         }
-        return "{\"epoch\":" + epoch + ",\"seq\":" + seq + ",\"whole\":" + whole + ",\"hosts\":[" + hosts + "]}";
+        return "{\"epoch\":" + epoch + ",\"seq\":" + seq + ",\"whole\":" + whole + ",\"hosts\":[" + hosts
+            + "]}";
     }
 
     /** The next question, at whichever replica. */
