--- a/src/main/java/willowyoke/Decide.java
+++ b/src/main/java/willowyoke/Decide.java
@@ -277,8 +277,8 @@
     }
 
     /**
-     * A replica that forgot may tell a list that lost more than half at once: what serves is kept until another
-     * tells so too, or the same one after a while. Who is told to have left is gone: drains are honoured.
+     * A replica that forgot may tell a list that lost more than half at once: what serves is kept until
+     * another tells so too, or the same one after a while. Who is told to have left is gone: drains hold.
      */
     @Override public boolean believes(double time, List<Gateway.Server> list, Gateway.Source source) {
         Set<String> told = new HashSet<>(list.stream().map(Gateway.Server::id).toList());
