Make the list service the lab's default discovery, with faults of its replicas

Change: flag servers register, renew and are drained in the service (ServiceListing); each edge node reaches every replica through a proxy that puts in its own addresses and notes what it was told (ListProxy); faults list-kill, list-pause and list-cut; list-trial and list-bench in the command. The lab's own agents stay as kind = "agents". Listing is what flag servers need of either.

--- a/fleet/cli/src/main/java/barleyfall/cli/LabCommand.java
+++ b/fleet/cli/src/main/java/barleyfall/cli/LabCommand.java
@@ -1,5 +1,8 @@
 package barleyfall.cli;
 
+import barleyfall.lab.catalog.ListBench;
+import barleyfall.lab.catalog.ListLab;
+import barleyfall.lab.catalog.ListTrial;
 import barleyfall.lab.experiment.Experiment;
 import barleyfall.lab.experiment.ExperimentReader;
 import barleyfall.lab.plan.Plan;
@@ -13,6 +16,7 @@
 import barleyfall.lab.run.Project;
 import barleyfall.common.toml.Misstated;
 import java.io.IOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.LocalDateTime;
 import java.time.format.DateTimeFormatter;
@@ -110,6 +114,42 @@
         return Main.GOOD;
     }
 
+    @Command(name = "list-trial", mixinStandardHelpOptions = true,
+        description = "Writers, readers and watches at the list service while replicas are killed, stopped "
+            + "and cut off; checks that what they saw is linearizable and gapless.")
+    int listTrial(@Option(names = "--seeds", defaultValue = "20", description = "so many, from 1") int seeds,
+        @Option(names = "--faults", defaultValue = "4", description = "of each seed") int faults,
+        @Option(names = "--out", paramLabel = "DIR", description = "where the replicas keep their folders")
+        Path out) throws IOException {
+        int wrong = 0;
+        try (ListLab lab = new ListLab(3, "", out != null ? out : Files.createTempDirectory("list-trial"))) {
+            ListTrial trial = new ListTrial(lab.nodes());
+            for (long seed = 1; seed <= seeds; seed++) {
+                ListTrial.Found found = trial.play(seed, faults);
+                System.out.printf("seed %d: %d operations, %d without an answer, next write after a kill of the "
+                    + "leader %s ms, %d violations%n", seed, found.operations(), found.unknown(),
+                    found.gapMs().stream().map(Math::round).toList(), found.wrong().size());
+                found.wrong().forEach(System.out::println);
+                wrong += found.wrong().size();
+            }
+        }
+        return wrong == 0 ? Main.GOOD : Main.FAILED;
+    }
+
+    @Command(name = "list-bench", mixinStandardHelpOptions = true,
+        description = "Measures the list service: writes, watches, loss of the leader, start, memory, disk.")
+    int listBench(@Option(names = "--members", defaultValue = "10000") int members,
+        @Option(names = "--changes", defaultValue = "100000") int changes,
+        @Option(names = "--out", paramLabel = "DIR", description = "where the replicas keep their folders")
+        Path out) throws IOException {
+        String room = "[list]\nmembers = " + Math.max(members, 1) + "\n";
+        try (ListLab lab = new ListLab(3, room, out != null ? out
+            : Files.createTempDirectory("list-bench"))) {
+            new ListBench(lab.nodes(), System.out::println).run(members, changes);
+        }
+        return Main.GOOD;
+    }
+
     @Command(name = "follow", mixinStandardHelpOptions = true,
         description = "Prints everything that happened to one request, at every process that touched it.")
     int follow(@Parameters(index = "0", paramLabel = "RESULT",
--- a/fleet/lab/src/main/java/barleyfall/lab/experiment/Experiment.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/experiment/Experiment.java
@@ -41,8 +41,12 @@
     /** The shared counter: calls a second that it serves, ms beside the way, calls that may wait. */
     public record Counter(double rate, double call, int queue, double limit) { }
 
-    /** How late a list is told, how late a silent death is noticed, how late an added server is listed. */
-    public record Discovery(Range late, Range silentDeath, Range added) { }
+    /**
+     * How late a list is told, how late a silent death is noticed, how late an added server is listed; by so
+     * many replicas of the list service, 0 for the lab's own agents; guard: the share of the members that may
+     * be lost at once before the list service holds their leases.
+     */
+    public record Discovery(Range late, Range silentDeath, Range added, int replicas, double guard) { }
 
     /**
      * Open-loop load: first tries a second over the whole fleet, by as many customers as it takes. Most use a
--- a/fleet/lab/src/main/java/barleyfall/lab/experiment/ExperimentReader.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/experiment/ExperimentReader.java
@@ -67,13 +67,13 @@
         Table d = t.table("discovery");
         Experiment.Discovery discovery = new Experiment.Discovery(d.range("late", Units.Kind.TIME, 700, 2000),
             d.range("silent_death", Units.Kind.TIME, 4200, 11_000), d.range("added", Units.Kind.TIME, 700,
-            2200));
+            2200), replicas(d), d.number("guard", Units.Kind.SHARE, 0.5));
         Experiment.Load load = load(t.table("load"));
         List<Experiment.Plan> plans = plans(t);
         List<Experiment.RequestClass> classes = classes(t);
         List<Experiment.Fault> faults = new ArrayList<>();
         for (Table f : t.tables("fault")) {
-            faults.add(Faults.read(f, length, topology, faults.size() + 1));
+            faults.add(Faults.read(f, length, topology, discovery.replicas(), faults.size() + 1));
         }
         List<Experiment.Expectation> expectations = new ArrayList<>();
         for (Table e : t.tables("expect")) {
@@ -85,6 +85,16 @@
             load, plans, classes, faults, expectations);
     }
 
+    /** The list service, of one replica unless the file says more, or the lab's own agents. */
+    private static int replicas(Table t) {
+        boolean agents = t.oneOf("kind", "service", Set.of("service", "agents")).equals("agents");
+        int replicas = t.whole("replicas", 1, 1, 5);
+        if (replicas % 2 == 0) {
+            t.wrong("replicas", "1, 3 or 5 expected, found " + replicas);
+        }
+        return agents ? 0 : replicas;
+    }
+
     private static void twice(Table t, List<String> names) {
         Set<String> seen = new HashSet<>();
         names.stream().filter(n -> !seen.add(n)).forEach(n -> t.wrong("fault", "two are named " + n));
--- a/fleet/lab/src/main/java/barleyfall/lab/experiment/Faults.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/experiment/Faults.java
@@ -8,7 +8,7 @@
 /** The kinds of faults, and how each is stated. */
 final class Faults {
     /** What a fault is done to. */
-    private enum Target { EDGES, SERVERS, ZONE, LINK, NONE }
+    private enum Target { EDGES, SERVERS, ZONE, LINK, LIST, NONE }
 
     private static final Map<String, Target> KINDS = Map.ofEntries(
         Map.entry("kill", Target.EDGES), Map.entry("pause", Target.EDGES), Map.entry("restart", Target.EDGES),
@@ -18,7 +18,9 @@
         Map.entry("zone-lost", Target.ZONE), Map.entry("cut", Target.LINK), Map.entry("reset", Target.LINK),
         Map.entry("delay", Target.LINK), Map.entry("throttle", Target.LINK), Map.entry("loss", Target.LINK),
         Map.entry("counter-away", Target.NONE), Map.entry("counter-forget", Target.NONE),
-        Map.entry("discovery-silent", Target.NONE), Map.entry("burst", Target.NONE),
+        Map.entry("list-kill", Target.LIST), Map.entry("list-pause", Target.LIST),
+        Map.entry("list-cut", Target.LIST), Map.entry("discovery-silent", Target.NONE), Map.entry("burst",
+            Target.NONE),
         Map.entry("hot-customer", Target.NONE));
     /** These happen at one moment. */
     private static final Set<String> MOMENTS = Set.of("reset", "counter-forget");
@@ -27,7 +29,8 @@
 
     private Faults() { }
 
-    static Experiment.Fault read(Table t, double length, Experiment.Topology topology, int number) {
+    static Experiment.Fault read(Table t, double length, Experiment.Topology topology, int replicas,
+        int number) {
         String kind = t.oneOf("kind", null, KINDS.keySet());
         Target on = KINDS.getOrDefault(kind, Target.NONE);
         String name = t.text("name", kind + "-" + number);
@@ -49,6 +52,13 @@
                 t.wrong("from", "a link's ends are named, not drawn; others is for the far end");
             }
             both = t.flag("both_ways", true);
+        } else if (on == Target.LIST) {
+            target = t.text("target", "leader");
+            if (!target.equals("leader") && !target.equals("all")
+                && !(target.matches("\\d") && Integer.parseInt(target) < replicas)) {
+                t.wrong("target", "leader, all or the number of a replica (of " + replicas
+                    + ") expected, found \"" + target + "\"");
+            }
         } else if (on != Target.NONE) {
             target = party(t, on == Target.ZONE ? "zone" : "target", topology, on == Target.ZONE ? null
                 : "all");
--- a/fleet/lab/src/main/java/barleyfall/lab/plan/Plan.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/plan/Plan.java
@@ -124,7 +124,7 @@
         }
         for (Experiment.Fault f : experiment.faults()) {
             add(digest, f.toString());
-            if (f.target() != null) {
+            if (f.target() != null && !f.kind().startsWith("list-")) { // who leads is known when it begins
                 add(digest, edges(f) + " " + servers(f));
             }
         }
--- a/fleet/lab/src/main/java/barleyfall/lab/run/Director.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/run/Director.java
@@ -8,6 +8,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
@@ -15,6 +16,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.stream.IntStream;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -44,6 +46,7 @@
         return t;
     });
     private final Set<Integer> replaced = ConcurrentHashMap.newKeySet();
+    private final Map<String, List<Integer>> hit = new ConcurrentHashMap<>();
     private final ConcurrentLinkedQueue<String> undone = new ConcurrentLinkedQueue<>();
 
     Director(Plan plan, LabClock clock, Parties parties, Edges edges, Consumer<Seen> trace) {
@@ -120,6 +123,13 @@
             case "cut", "delay", "throttle", "loss", "reset" -> links.begin(f);
             case "counter-away" -> parties.counter.away(true);
             case "counter-forget" -> parties.counter.forget();
+            case "list-kill", "list-pause", "list-cut" -> {
+                List<Integer> which = replicas(f);
+                hit.put(f.name(), which);
+                for (int r : which) {
+                    list(f.kind(), r, true);
+                }
+            }
             case "discovery-silent" -> parties.catalog.silent(true);
             case "burst", "hot-customer" -> LOG.debug("drawn with the load"); // nothing to do now
             default -> throw new IllegalStateException("no hand for " + f.kind());
@@ -143,11 +153,48 @@
             case "server-slow" -> plan.servers(f).forEach(n -> parties.servers.slower(n, 1));
             case "cut", "delay", "throttle", "loss" -> links.end(f);
             case "counter-away" -> parties.counter.away(false);
+            case "list-kill", "list-pause", "list-cut" -> {
+                for (int r : hit.getOrDefault(f.name(), List.of())) {
+                    list(f.kind(), r, false);
+                }
+            }
             case "discovery-silent" -> parties.catalog.silent(false);
             default -> LOG.debug("{} ends by itself", f.name());
         }
     }
 
+    /** The replicas that a fault is about, the leader as it is when it begins. */
+    private List<Integer> replicas(Experiment.Fault f) throws IOException {
+        if (f.target().equals("all")) {
+            return IntStream.range(0, parties.lists.size()).boxed().toList();
+        }
+        int one = f.target().equals("leader") ? parties.lists.leader() : Integer.parseInt(f.target());
+        if (one < 0) {
+            throw new IOException("the list service has no leader");
+        }
+        return List.of(one);
+    }
+
+    private void list(String kind, int replica, boolean begins) throws IOException {
+        switch (kind) {
+            case "list-kill" -> {
+                if (begins) {
+                    parties.lists.process(replica).kill();
+                } else {
+                    parties.lists.start(replica);
+                }
+            }
+            case "list-pause" -> {
+                if (begins) {
+                    parties.lists.process(replica).stop();
+                } else {
+                    parties.lists.process(replica).goOn();
+                }
+            }
+            default -> parties.lists.cutOff(replica, begins);
+        }
+    }
+
     private interface Each {
         void on(int number) throws IOException;
     }
--- a/fleet/lab/src/main/java/barleyfall/lab/run/EdgeConfig.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/run/EdgeConfig.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
 
 /** An edge node's configuration file, as the platform writes it. */
 final class EdgeConfig {
@@ -15,14 +16,20 @@
 
     private EdgeConfig() { }
 
-    static String write(Plan plan, int edge, AddressBlock addresses, long seed, ObjectNode known) {
+    /** Discovery: where the edge node finds its list, one address or several. */
+    static String write(Plan plan, int edge, AddressBlock addresses, long seed, List<String> discovery,
+        ObjectNode known) {
         Experiment e = plan.experiment();
         ObjectNode root = JSON.createObjectNode().put("name", "n" + edge)
             .put("listen", AddressBlock.text(addresses.edge(edge)))
             .put("control", AddressBlock.text(addresses.control(edge)))
-            .put("discovery", AddressBlock.text(addresses.discovery(edge)))
             .put("counter", AddressBlock.text(addresses.counter(edge)))
             .put("seed", String.format("%016x", seed));
+        if (discovery.size() == 1) {
+            root.put("discovery", discovery.get(0));
+        } else {
+            discovery.forEach(root.putArray("discovery")::add);
+        }
         Experiment.Limits l = e.limits();
         root.putObject("limits").put("cores", l.cores() > 0 ? l.cores() : 1).put("memory_mb", l.memoryMb())
             .put("sockets", l.sockets());
--- a/fleet/lab/src/main/java/barleyfall/lab/run/Edges.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/run/Edges.java
@@ -70,9 +70,9 @@
     void start(int number) throws IOException {
         long seed = plan.streams().of("seed of n" + number + " at " + Math.round(clock.now())).nextLong();
         all.get(number).start(EdgeConfig.write(plan, number, addresses, seed,
-            parties.agents.get(number).list()),
+            parties.discovery(number), parties.known(number)),
             Map.of("EDGE_NAME", "n" + number, "EDGE_LISTEN", AddressBlock.text(addresses.edge(number)),
-                "EDGE_DISCOVERY", AddressBlock.text(addresses.discovery(number))));
+                "EDGE_DISCOVERY", String.join(",", parties.discovery(number))));
     }
 
     /** Starts all; returns once they have answered PING, or throws with the first that has not in 30 s. */
--- a/fleet/lab/src/main/java/barleyfall/lab/run/LabRun.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/run/LabRun.java
@@ -64,7 +64,7 @@
         double cpu;
         double lag;
         try (AddressBlock addresses = AddressBlock.claim()) {
-            Parties parties = new Parties(plan, clock, addresses, trace);
+            Parties parties = new Parties(plan, clock, addresses, out, trace);
             try (Edges edges = new Edges(plan, clock, addresses, parties, project, out, trace)) {
                 edges.startAll(progress);
                 Director director = new Director(plan, clock, parties, edges, trace);
--- a/fleet/lab/src/main/java/barleyfall/lab/run/Links.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/run/Links.java
@@ -82,7 +82,9 @@
                 add(f, hits, e, parties.servers.link(e, s), "server", s, parties.servers.machine(s).zone());
             }
             add(f, hits, e, parties.toCounter.get(e), "counter", 0, plan.zone(0));
-            add(f, hits, e, parties.toDiscovery.get(e), "discovery", 0, null);
+            for (Link toDiscovery : parties.toDiscovery.get(e)) {
+                add(f, hits, e, toDiscovery, "discovery", 0, null);
+            }
             add(f, hits, e, parties.toFront.get(e), "front", 0, null);
         }
         return hits;
--- a/fleet/lab/src/main/java/barleyfall/lab/run/Parties.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/run/Parties.java
@@ -1,5 +1,9 @@
 package barleyfall.lab.run;
 
+import barleyfall.catalog.client.CatalogClient;
+import barleyfall.lab.catalog.ListNodes;
+import barleyfall.lab.catalog.ListProxy;
+import barleyfall.lab.catalog.ServiceListing;
 import barleyfall.lab.experiment.Experiment;
 import barleyfall.lab.net.Door;
 import barleyfall.lab.net.LabClock;
@@ -14,20 +18,30 @@
 import barleyfall.lab.standin.CounterStandIn;
 import barleyfall.lab.standin.FlagFleet;
 import barleyfall.lab.standin.Front;
+import barleyfall.lab.standin.Listing;
 import barleyfall.lab.standin.Requests;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.epoll.EpollIoHandler;
+import io.netty.handler.codec.http.HttpServerCodec;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.function.Consumer;
+import java.util.stream.IntStream;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** All stand-ins of a run, on their sockets. */
 final class Parties {
+    private static final Logger LOG = LoggerFactory.getLogger(Parties.class);
+    private static final Duration PATIENCE = Duration.ofSeconds(5);
     private static final int LOOPS = 3;
     /** The front's own: its load must go out on time whatever the other stand-ins are at. */
     private static final int FRONT_LOOPS = 2;
@@ -42,22 +56,40 @@
         return t;
     });
     final LoopLag lag = new LoopLag();
-    final Catalog catalog;
+    final Listing catalog;
+    /** The list service, or null where the lab's own agents stand in. */
+    final ListNodes lists;
     final FlagFleet servers;
     final CounterStandIn counter;
     final Front front;
     final List<Agent> agents = new ArrayList<>();
     final List<Link> toCounter = new ArrayList<>();
-    final List<Link> toDiscovery = new ArrayList<>();
+    /** By edge node: to its agent, or to each replica of the list service. */
+    final List<List<Link>> toDiscovery = new ArrayList<>();
     final List<Link> toFront = new ArrayList<>();
     private final List<Door> doors = new ArrayList<>();
+    private final AddressBlock addresses;
 
-    Parties(Plan plan, LabClock clock, AddressBlock addresses, Consumer<Seen> trace) throws IOException {
+    /** Out: the folder for what the list service keeps. */
+    Parties(Plan plan, LabClock clock, AddressBlock addresses, Path out, Consumer<Seen> trace)
+        throws IOException {
         Experiment e = plan.experiment();
         lag.watch(loops);
         lag.watch(frontLoops);
         long seed = plan.streams().of("parties").nextLong();
-        catalog = new Catalog(e.discovery(), clock, timers, seed);
+        Catalog agentsOf = new Catalog(e.discovery(), clock, timers, seed);
+        int replicas = e.discovery().replicas();
+        if (replicas > 0) {
+            lists = new ListNodes(replicas, ServiceListing.settings(e.discovery()), addresses, loops, clock,
+                out.resolve("list"));
+            lists.startAll();
+            catalog = new ServiceListing(lists, e.discovery(), clock, seed, silent -> toDiscovery
+                .forEach(links -> links.forEach(l -> l.cut(silent, true, true))));
+        } else {
+            lists = null;
+            catalog = agentsOf;
+        }
+        this.addresses = addresses;
         Requests requests = new Requests();
         servers = new FlagFleet(plan, clock, loops, catalog, requests, addresses::server, trace);
         servers.start();
@@ -66,16 +98,29 @@
         for (int i = 0; i < e.topology().edges(); i++) {
             int n = i;
             String zone = plan.zone(i);
-            Agent agent = new Agent(n, clock, loops.next(),
-                m -> AddressBlock.text(addresses.server(n, m.number())), trace);
-            agents.add(agent);
-            catalog.add(agent);
+            List<Link> links = new ArrayList<>();
+            toDiscovery.add(links);
+            if (lists == null) {
+                Agent agent = new Agent(n, clock, loops.next(),
+                    m -> AddressBlock.text(addresses.server(n, m.number())), trace);
+                agents.add(agent);
+                agentsOf.add(agent);
+                links.add(new Link(new Way(0, 0), new Way(0, 0)));
+                doors.add(new Door(loops.next(), addresses.discovery(n), clock, links.get(0), seed + n,
+                    agent::fit));
+            }
+            double late = e.discovery().late().at(plan.streams().of("list n" + n).nextDouble());
+            for (int r = 0; r < replicas; r++) {
+                int replica = r;
+                Link link = new Link(new Way(0, 0), new Way(0, 0));
+                links.add(link);
+                doors.add(new Door(loops.next(), addresses.replica(n, r), clock, link, seed + n,
+                    (channel, handler) -> channel.pipeline().addLast(new HttpServerCodec(), new ListProxy(n,
+                        addresses.replicaHttp(replica), id -> dial(n, id), late, clock, trace))));
+            }
             toCounter.add(link(plan, "n" + n + " counter", zone, plan.zone(0)));
-            toDiscovery.add(new Link(new Way(0, 0), new Way(0, 0)));
             double client = e.delays().client().at(plan.streams().of("delay n" + n + " front").nextDouble());
             toFront.add(new Link(new Way(client, e.delays().jitter()), new Way(client, e.delays().jitter())));
-            doors.add(new Door(loops.next(), addresses.discovery(n), clock, toDiscovery.get(n), seed + n,
-                agent::fit));
             doors.add(new Door(loops.next(), addresses.counter(n), clock, toCounter.get(n), seed - n,
                 (channel, handler) -> counter.fit(n, channel, handler)));
             edges.add(addresses.edge(n));
@@ -92,10 +137,45 @@
         return new Link(new Way(delay, jitter), new Way(delay, jitter));
     }
 
+    /** Where an edge node finds a flag server; one that it cannot find is a mistake of the lab's. */
+    private String dial(int edge, String id) {
+        Integer number = servers.numberOf(id);
+        if (number == null) {
+            throw new IllegalStateException("the list names " + id + ", which the lab never started");
+        }
+        return AddressBlock.text(addresses.server(edge, number));
+    }
+
+    /** Where an edge node finds discovery: its agent, or the replicas of the list service. */
+    List<String> discovery(int edge) {
+        if (lists == null) {
+            return List.of(AddressBlock.text(addresses.discovery(edge)));
+        }
+        return IntStream.range(0, lists.size()).mapToObj(r -> AddressBlock.text(addresses.replica(edge, r)))
+            .toList();
+    }
+
+    /** The list as an edge node had it last. */
+    ObjectNode known(int edge) throws IOException {
+        if (lists == null) {
+            return agents.get(edge).list();
+        }
+        return ListProxy.withDials(new CatalogClient(lists.httpFrom(0), PATIENCE).get("members").body(),
+            id -> dial(edge, id));
+    }
+
     void stop() {
         front.end();
         timers.shutdownNow();
         servers.stop();
+        if (lists != null) {
+            ((ServiceListing) catalog).close();
+            try {
+                lists.close();
+            } catch (IOException e) {
+                LOG.warn("while ending the list service", e);
+            }
+        }
         doors.forEach(Door::close);
         frontLoops.shutdownGracefully(0, 500,
             java.util.concurrent.TimeUnit.MILLISECONDS).syncUninterruptibly();
--- a/fleet/lab/src/main/java/barleyfall/lab/run/Rehearsal.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/run/Rehearsal.java
@@ -11,6 +11,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.net.ServerSocket;
+import java.nio.file.Path;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -28,6 +29,8 @@
         servers = 6
         [edge]
         descriptors = 200
+        [discovery]
+        kind = "agents"
         [counter]
         calls = "10000/s"
         [load]
@@ -54,9 +57,9 @@
         Plan plan = Plan.draw(e, 1);
         LabClock clock = new LabClock();
         try (AddressBlock addresses = AddressBlock.claim()) {
-            Parties parties = new Parties(plan, clock, addresses, seen -> { });
+            Parties parties = new Parties(plan, clock, addresses, Path.of(""), seen -> { });
             try (ServerSocket edge = StandInEdge.open(Break.NONE, new ObjectMapper()
-                .readTree(EdgeConfig.write(plan, 0, addresses, 1, parties.agents.get(0).list())))) {
+                .readTree(EdgeConfig.write(plan, 0, addresses, 1, parties.discovery(0), parties.known(0))))) {
                 parties.front.watch();
                 parties.front.ready(0).get(10, TimeUnit.SECONDS);
                 clock.startIn(0);
--- a/fleet/lab/src/main/java/barleyfall/lab/standin/Catalog.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/standin/Catalog.java
@@ -1,5 +1,6 @@
 package barleyfall.lab.standin;
 
+import barleyfall.common.toml.Range;
 import barleyfall.lab.experiment.Experiment;
 import barleyfall.lab.net.LabClock;
 import barleyfall.lab.plan.Machine;
@@ -10,12 +11,13 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 
 /**
  * The true list of flag servers in its versions; each edge node's agent hears of a change later, by a draw of
  * its own, and of none while discovery is silent.
  */
-public final class Catalog {
+public final class Catalog implements Listing {
     /** A flag server as the list has it; born in ms of the lab's clock, -infinity for long ago. */
     record Entry(Machine machine, String health, double born) { }
 
@@ -44,14 +46,37 @@
         entries.values().forEach(e -> agent.hear(List.of(new Change(seq, e))));
     }
 
-    /** Before the run: known to all at once. */
-    synchronized void listFirst(Machine machine) {
+    @Override public synchronized void first(Machine machine, BooleanSupplier runs) {
         entries.put(machine.id(), new Entry(machine, "active", Double.NEGATIVE_INFINITY));
         seq++;
     }
 
+    @Override public void up(Machine machine, double born, BooleanSupplier runs) {
+        later(traits.added(), () -> change(machine, "active", born));
+    }
+
+    @Override public void draining(Machine machine) {
+        change(machine, "leaving", Double.NEGATIVE_INFINITY);
+    }
+
+    @Override public void gone(Machine machine) {
+        change(machine, "left", Double.NEGATIVE_INFINITY);
+    }
+
+    @Override public void died(Machine machine, BooleanSupplier runs) {
+        later(traits.silentDeath(), () -> {
+            if (!runs.getAsBoolean()) {
+                change(machine, "left", Double.NEGATIVE_INFINITY);
+            }
+        });
+    }
+
+    private synchronized void later(Range lateness, Runnable action) {
+        timers.schedule(action, (long) lateness.at(random.nextDouble()), TimeUnit.MILLISECONDS);
+    }
+
     /** A flag server has changed: each agent is told, late. */
-    synchronized void change(Machine machine, String health, double born) {
+    private synchronized void change(Machine machine, String health, double born) {
         Entry e = new Entry(machine, health, born);
         if (health.equals("left")) {
             entries.remove(machine.id());
@@ -65,18 +90,7 @@
         }
     }
 
-    /** Runs an action after a draw of how late a silent death is noticed. */
-    synchronized void whenDeathIsNoticed(Runnable action) {
-        timers.schedule(action, (long) traits.silentDeath().at(random.nextDouble()), TimeUnit.MILLISECONDS);
-    }
-
-    /** Runs an action after a draw of how late a flag server that came up is listed. */
-    synchronized void whenAdded(Runnable action) {
-        timers.schedule(action, (long) traits.added().at(random.nextDouble()), TimeUnit.MILLISECONDS);
-    }
-
-    /** Silent: no agent hears or says anything. */
-    public synchronized void silent(boolean silent) {
+    @Override public synchronized void silent(boolean silent) {
         agents.forEach(a -> a.silent(silent));
         if (!silent) {
             agents.forEach(a -> timers.schedule(a::hearDue, 1, TimeUnit.MILLISECONDS));
--- a/fleet/lab/src/main/java/barleyfall/lab/standin/FlagFleet.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/standin/FlagFleet.java
@@ -13,6 +13,8 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.BiFunction;
 import java.util.function.Consumer;
@@ -24,24 +26,29 @@
         final FlagServer server;
         final List<Door> doors = new ArrayList<>();
         final List<Link> links = new ArrayList<>();
-        boolean silent;
+        volatile boolean silent;
 
         Stand(FlagServer server) {
             this.server = server;
         }
+
+        boolean runs() {
+            return !silent && server.isUp();
+        }
     }
 
     private final Plan plan;
     private final LabClock clock;
     private final EventLoopGroup loops;
-    private final Catalog catalog;
+    private final Listing catalog;
     private final Requests requests;
     private final BiFunction<Integer, Integer, InetSocketAddress> addresses;
     private final Consumer<Seen> trace;
     private final List<Stand> stands = new CopyOnWriteArrayList<>();
+    private final Map<String, Integer> numbers = new ConcurrentHashMap<>();
 
     /** Addresses: of a machine (second) as an edge node (first) finds it. */
-    public FlagFleet(Plan plan, LabClock clock, EventLoopGroup loops, Catalog catalog, Requests requests,
+    public FlagFleet(Plan plan, LabClock clock, EventLoopGroup loops, Listing catalog, Requests requests,
         BiFunction<Integer, Integer, InetSocketAddress> addresses, Consumer<Seen> trace) {
         this.plan = plan;
         this.clock = clock;
@@ -57,7 +64,7 @@
         for (int i = 0; i < plan.experiment().topology().servers(); i++) {
             Stand s = add(plan.zone(i));
             run(s, () -> s.server.start(false));
-            catalog.listFirst(s.server.machine());
+            catalog.first(s.server.machine(), s::runs);
             open(s);
         }
     }
@@ -78,6 +85,7 @@
                     new FlagServerPort(s.server, n, handler, e.servers().idle()))));
         }
         s.server.onFall(() -> doorsInBackground(s));
+        numbers.put(machine.id(), number);
         stands.add(s);
         return s;
     }
@@ -110,6 +118,11 @@
         return stands.get(number).server.machine();
     }
 
+    /** The number of the machine of that id, or null. */
+    public Integer numberOf(String id) {
+        return numbers.get(id);
+    }
+
     /** The link of an edge node to a machine. */
     public Link link(int edge, int number) {
         return stands.get(number).links.get(edge);
@@ -126,11 +139,7 @@
     }
 
     private void goneUnlessBack(Stand s) {
-        catalog.whenDeathIsNoticed(() -> {
-            if (s.silent || !s.server.isUp()) {
-                catalog.change(s.server.machine(), "left", Double.NEGATIVE_INFINITY);
-            }
-        });
+        catalog.died(s.server.machine(), s::runs);
     }
 
     /** The machine vanishes: its connections stay open and silent, and new ones never come up. */
@@ -155,7 +164,7 @@
         for (Door d : s.doors) {
             d.reopen();
         }
-        catalog.whenAdded(() -> catalog.change(s.server.machine(), "active", born));
+        catalog.up(s.server.machine(), born, s::runs);
     }
 
     /** Runs so many times slower; 1 is as it was. */
@@ -166,7 +175,7 @@
 
     /** The list tells that it drains; what is sent to it all the same is served until it is replaced. */
     public void drain(int number) {
-        catalog.change(machine(number), "leaving", Double.NEGATIVE_INFINITY);
+        catalog.draining(machine(number));
     }
 
     /** Ends a drained server for good. */
@@ -174,7 +183,7 @@
         Stand s = stands.get(number);
         run(s, () -> s.server.stop("replaced"));
         s.doors.forEach(Door::close);
-        catalog.change(s.server.machine(), "left", Double.NEGATIVE_INFINITY);
+        catalog.gone(s.server.machine());
     }
 
     /** A successor of a machine: a new one, in the same zone, cold. */
@@ -183,7 +192,7 @@
         run(s, () -> s.server.start(true));
         double born = clock.now();
         open(s);
-        catalog.whenAdded(() -> catalog.change(s.server.machine(), "active", born));
+        catalog.up(s.server.machine(), born, s::runs);
         return stands.indexOf(s);
     }
 
--- a/fleet/lab/src/main/java/barleyfall/lab/standin/FlagServer.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/standin/FlagServer.java
@@ -54,7 +54,7 @@
     private ScheduledFuture<?> next;
     private double startedAt = Double.NEGATIVE_INFINITY;
     private double slower = 1;
-    private boolean up;
+    private volatile boolean up;
     private int connections;
     private long order;
     private double sentSum;
--- a/fleet/lab/src/test/java/barleyfall/lab/Experiments.java
+++ b/fleet/lab/src/test/java/barleyfall/lab/Experiments.java
@@ -21,6 +21,7 @@
         cold_from = 0.3
         cold_for = "8s"
         [discovery]
+        %s
         late = "50ms"
         added = "100ms"
         silent_death = "500ms"
@@ -62,9 +63,15 @@
 
     /** The base with these lines in its topology, and more tables behind it. */
     public static Experiment of(String topology, String more) throws IOException, Misstated {
+        return of(topology, more, "");
+    }
+
+    /** The same with these lines in its discovery. */
+    public static Experiment of(String topology, String more, String discovery) throws IOException,
+        Misstated {
         Path file = Files.createTempFile("experiment", ".toml");
         try {
-            Files.writeString(file, BASE.formatted(topology) + more);
+            Files.writeString(file, BASE.formatted(topology, discovery) + more);
             return ExperimentReader.read(file);
         } finally {
             Files.delete(file);
--- a/fleet/lab/src/test/java/barleyfall/lab/catalog/ListServiceTest.java
+++ b/fleet/lab/src/test/java/barleyfall/lab/catalog/ListServiceTest.java
@@ -5,13 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import barleyfall.catalog.client.CatalogClient;
-import barleyfall.lab.net.LabClock;
-import barleyfall.lab.process.AddressBlock;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.epoll.EpollIoHandler;
 import java.io.IOException;
 import java.io.RandomAccessFile;
 import java.nio.file.Files;
@@ -21,7 +16,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -45,25 +39,18 @@
         """;
 
     @TempDir Path out;
-    private final EventLoopGroup loops = new MultiThreadIoEventLoopGroup(2, EpollIoHandler.newFactory());
-    private AddressBlock addresses;
+    private ListLab lab;
     private ListNodes nodes;
 
-    @BeforeEach void claim() throws IOException {
-        addresses = AddressBlock.claim();
-    }
-
     @AfterEach void end() throws IOException {
-        if (nodes != null) {
-            nodes.close();
+        if (lab != null) {
+            lab.close();
         }
-        loops.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
-        addresses.close();
     }
 
     private CatalogClient start(int replicas) throws IOException {
-        nodes = new ListNodes(replicas, QUICK, addresses, loops, new LabClock(), out);
-        nodes.startAll();
+        lab = new ListLab(replicas, QUICK, out);
+        nodes = lab.nodes();
         return client(0);
     }
 
--- a/fleet/lab/src/test/java/barleyfall/lab/run/PartiesTest.java
+++ b/fleet/lab/src/test/java/barleyfall/lab/run/PartiesTest.java
@@ -6,6 +6,7 @@
 import barleyfall.lab.net.LabClock;
 import barleyfall.lab.plan.Plan;
 import barleyfall.lab.process.AddressBlock;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -15,16 +16,19 @@
 import java.util.concurrent.Future;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
 
 /** The stand-ins by themselves. */
 @Timeout(60)
 class PartiesTest {
+    @TempDir Path out;
+
     /** A deploy replaces a batch at once: each successor is a machine of its own, at addresses of its own. */
     @Test void successorsThatStartAtOnceShareNoAddress() throws Exception {
-        Plan plan = Plan.draw(Experiments.of("edges = 2\nservers = 2", ""), 1);
+        Plan plan = Plan.draw(Experiments.of("edges = 2\nservers = 2", "", "kind = \"agents\""), 1);
         ExecutorService hands = Executors.newFixedThreadPool(16);
         try (AddressBlock addresses = AddressBlock.claim()) {
-            Parties parties = new Parties(plan, new LabClock(), addresses, seen -> { });
+            Parties parties = new Parties(plan, new LabClock(), addresses, out, seen -> { });
             List<Callable<Integer>> deploys = new ArrayList<>();
             for (int i = 0; i < 64; i++) {
                 deploys.add(() -> parties.servers.succeed(0));
