--- a/fleet/lab/src/main/java/barleyfall/lab/catalog/ListBench.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/catalog/ListBench.java
@@ -52,7 +52,10 @@
         register(members);
         watch();
         new Crowd(nodes, say).come(members);
+        int away = nodes.size() - 1;
+        nodes.process(away).kill();
         mark(members, changes);
+        catchUp(away);
         say.accept("memory of each replica, MB: " + memory());
         say.accept("on disk at each replica, MB: " + disk());
         killLeader();
@@ -74,7 +77,7 @@
         long began = System.nanoTime();
         List<Future<Void>> all = new ArrayList<>();
         for (int c = 0; c < CLIENTS; c++) {
-            CatalogClient client = client(c % nodes.size());
+            CatalogClient client = client(c % 2);
             all.add(hands.submit(() -> {
                 for (int i = next.getAndIncrement(); i < count; i = next.getAndIncrement()) {
                     CatalogClient.Answer answer = write.of(client, i);
@@ -112,6 +115,16 @@
         say.accept(String.format("%d changes by %d clients: %.0f writes a second", changes, CLIENTS, rate));
     }
 
+    /** A replica that was away for all of that. */
+    private void catchUp(int away) throws IOException {
+        long version = nodes.await(0, s -> !s.path("stale").asBoolean(true)).path("seq").asLong();
+        long began = System.nanoTime();
+        nodes.start(away);
+        nodes.await(away, s -> s.path("seq").asLong() >= version);
+        say.accept(String.format("a replica that was away for them has the list %.1f s after its start",
+            (System.nanoTime() - began) / 1e9));
+    }
+
     // ---- watches ----
 
     private void watch() throws IOException {
--- a/fleet/lab/src/test/java/barleyfall/lab/catalog/ListServiceTest.java
+++ b/fleet/lab/src/test/java/barleyfall/lab/catalog/ListServiceTest.java
@@ -232,6 +232,29 @@
         assertTrue(said.contains("move it aside"), said);
     }
 
+    /**
+     * A flipped bit in what was agreed on, in the middle of the log: it is not read past, and nothing is
+     * guessed.
+     */
+    @Test void aReplicaWhoseLogIsDamagedDoesNotStart() throws Exception {
+        CatalogClient c = start(3);
+        for (int i = 0; i < 50; i++) {
+            register(c, "s" + i, 60_000);
+        }
+        awaitMembers(1, 50);
+        nodes.process(1).kill();
+        try (Stream<Path> all = Files.walk(nodes.folder(1))) {
+            Path log = all.filter(p -> p.getFileName().toString().startsWith("log_inprogress")).findFirst()
+                .orElseThrow();
+            byte[] bytes = Files.readAllBytes(log);
+            bytes[2000] ^= 8;
+            Files.write(log, bytes);
+        }
+        nodes.start(1);
+        assertEquals(2, nodes.process(1).process().waitFor(), "refuses to start");
+        assertTrue(Files.readString(nodes.log(1).toPath()).contains("move it aside"));
+    }
+
     private static Path newest(Path folder) throws IOException {
         try (Stream<Path> all = Files.walk(folder)) {
             return all.filter(p -> p.getFileName().toString().matches("snapshot\\.\\d+_\\d+"))
--- a/fleet/lab/src/test/java/barleyfall/lab/run/RealEdgeTest.java
+++ b/fleet/lab/src/test/java/barleyfall/lab/run/RealEdgeTest.java
@@ -57,8 +57,48 @@
         for = "1s"
         """;
 
+    /**
+     * The list service of three loses its leader, is stopped, and ends as a whole, while a server crashes.
+     */
+    private static final String LIST_DAY = """
+        [[fault]]
+        kind = "list-kill"
+        target = "leader"
+        at = "300ms"
+        for = "700ms"
+        [[fault]]
+        kind = "list-pause"
+        target = "1"
+        at = "1200ms"
+        for = "500ms"
+        [[fault]]
+        kind = "list-cut"
+        target = "0"
+        at = "1200ms"
+        for = "500ms"
+        [[fault]]
+        kind = "list-kill"
+        target = "all"
+        at = "2s"
+        for = "1s"
+        [[fault]]
+        kind = "server-crash"
+        target = "server:1"
+        at = "500ms"
+        for = "2s"
+        """;
+
     @TempDir Path out;
 
+    @Test void servesWhateverBefallsTheListService() throws Exception {
+        Experiment e = Experiments.of("edges = 4\nservers = 6", LIST_DAY, "replicas = 3");
+        Result r = new LabRun(e, 6, Project.find(Path.of("")), out, line -> { }).play();
+        assertEquals(List.of(), r.violations());
+        assertTrue(r.unsound().stream().noneMatch(u -> u.contains("Exception")), r.unsound().toString());
+        assertTrue(r.figures().get("served") > 0.1, r.figures().toString());
+        assertEquals(List.of(1, 1, 1, 1), r.edges().stream().map(Result.EdgeRow::starts).toList());
+    }
+
     @Test void keepsTheRulesAndLeavesItsRecord() throws Exception {
         Experiment e = Experiments.of("edges = 3\nservers = 6", DAY);
         Result r = new LabRun(e, 5, Project.find(Path.of("")), out, line -> { }).play();
--- a/src/test/java/willowyoke/SubsetTest.java
+++ b/src/test/java/willowyoke/SubsetTest.java
@@ -80,6 +80,27 @@
         assertTrue(gateway <= 2, "the new one brings the load of one, and for it moves " + gateway);
     }
 
+    /** For some seconds half of the gateways have a list with one machine more, or two of ten less. */
+    @Test void listsThatDifferForAWhileKeepTheLoadNearlyEven() {
+        for (int servers : new int[] {10, 60, 150}) {
+            for (int change : new int[] {1, -servers / 5}) {
+                List<Map<String, Double>> old = parts(100, ids(0, servers));
+                List<Map<String, Double>> now = parts(100, ids(0, servers + change));
+                List<Map<String, Double>> mixed = new ArrayList<>();
+                for (int g = 0; g < 100; g++) {
+                    mixed.add(g % 2 == 0 ? old.get(g) : now.get(g));
+                }
+                Map<String, Double> load = load(mixed);
+                double most = ids(0, Math.min(servers, servers
+                    + change)).stream().mapToDouble(load::get).max()
+                    .orElseThrow();
+                // those of the longer list carry their part of half, so the others bear a little more
+                double fair = 50.0 / servers + 50.0 / (servers + change);
+                assertTrue(most <= 1.2 * fair, servers + " and " + change + ": " + most / fair);
+            }
+        }
+    }
+
     @Test void wantsSayWhatEachServerCarries() {
         List<String> ids = ids(0, 12);
         double[] wants = new double[12];
