One class for an operator's words about a member; an edge node restarts while the list is away

Need: five commands repeated each other, and an edge node that the lab restarts while the list service is down could not be given the list that it had.

Change: MemberCommand; Parties keeps the last list that it read.

--- a/fleet/cli/src/main/java/barleyfall/cli/CatalogCommand.java
+++ b/fleet/cli/src/main/java/barleyfall/cli/CatalogCommand.java
@@ -18,7 +18,9 @@
 
 /** {@code barleyfall catalog}: the list service, and words of operators to it. */
 @Command(name = "catalog", mixinStandardHelpOptions = true,
-    description = "The list of flag servers: serves a replica of it, shows it, changes it.")
+    description = "The list of flag servers: serves a replica of it, shows it, changes it.",
+    subcommands = {MemberCommand.Drain.class, MemberCommand.Undrain.class, MemberCommand.Pin.class,
+        MemberCommand.Unpin.class, MemberCommand.Remove.class})
 final class CatalogCommand implements Runnable {
     private static final Duration PATIENCE = Duration.ofSeconds(10);
 
@@ -106,41 +108,7 @@
         return code;
     }
 
-    @Command(name = "drain", mixinStandardHelpOptions = true,
-        description = "Says that a member completes what it has and wants nothing new.")
-    int drain(@Parameters(paramLabel = "HOST") String host, @Option(names = "--expect") Long expect)
-        throws IOException {
-        return say("drain", host, expect);
-    }
-
-    @Command(name = "undrain", mixinStandardHelpOptions = true, description = "Takes that back.")
-    int undrain(@Parameters(paramLabel = "HOST") String host, @Option(names = "--expect") Long expect)
-        throws IOException {
-        return say("undrain", host, expect);
-    }
-
-    @Command(name = "pin", mixinStandardHelpOptions = true,
-        description = "Keeps a member listed though its lease runs out.")
-    int pin(@Parameters(paramLabel = "HOST") String host, @Option(names = "--expect") Long expect)
-        throws IOException {
-        return say("pin", host, expect);
-    }
-
-    @Command(name = "unpin", mixinStandardHelpOptions = true, description = "Takes that back.")
-    int unpin(@Parameters(paramLabel = "HOST") String host, @Option(names = "--expect") Long expect)
-        throws IOException {
-        return say("unpin", host, expect);
-    }
-
-    @Command(name = "remove", mixinStandardHelpOptions = true,
-        description = "Takes a member out of the list.")
-    int remove(@Parameters(paramLabel = "HOST") String host, @Option(names = "--expect",
-        description = "the member's version that you know; nothing is done where it has passed") Long expect)
-        throws IOException {
-        return say("remove", host, expect);
-    }
-
-    private int say(String word, String host, Long expect) throws IOException {
+    int say(String word, String host, Long expect) throws IOException {
         ObjectNode body = CatalogClient.object().put("host", host);
         if (expect != null) {
             body.put("expect", expect);
--- a/fleet/lab/src/main/java/barleyfall/lab/run/Parties.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/run/Parties.java
@@ -20,6 +20,7 @@
 import barleyfall.lab.standin.Front;
 import barleyfall.lab.standin.Listing;
 import barleyfall.lab.standin.Requests;
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -69,6 +70,7 @@
     final List<Link> toFront = new ArrayList<>();
     private final List<Door> doors = new ArrayList<>();
     private final AddressBlock addresses;
+    private volatile JsonNode last;
 
     /** Out: the folder for what the list service keeps. */
     Parties(Plan plan, LabClock clock, AddressBlock addresses, Path out, Consumer<Seen> trace)
@@ -155,13 +157,21 @@
             .toList();
     }
 
-    /** The list as an edge node had it last. */
+    /** The list as an edge node had it last; while the list service is away, as it was before. */
     ObjectNode known(int edge) throws IOException {
         if (lists == null) {
             return agents.get(edge).list();
         }
-        return ListProxy.withDials(new CatalogClient(lists.httpFrom(0), PATIENCE).get("members").body(),
-            id -> dial(edge, id));
+        try {
+            CatalogClient.Answer answer = new CatalogClient(lists.httpFrom(0), PATIENCE).get("members");
+            last = answer.good() ? answer.body() : last;
+        } catch (IOException away) {
+            LOG.info("an edge node starts with an older list: {}", away.getMessage());
+        }
+        if (last == null) {
+            throw new IOException("the list service has told no list yet");
+        }
+        return ListProxy.withDials(last.deepCopy(), id -> dial(edge, id));
     }
 
     void stop() {
