Note what is kept on a thread apart from the leases, as a slow sync held up renewals

Need: read once more, the replica synced its note of what is kept, each second, on the thread that also ends leases and sends the next batch of renewals; a disk that is slow to sync would have held both up.

Change: the note has a thread of its own.

--- a/fleet/catalog/src/main/java/barleyfall/catalog/replica/Replica.java
+++ b/fleet/catalog/src/main/java/barleyfall/catalog/replica/Replica.java
@@ -65,6 +65,12 @@
         t.setDaemon(true);
         return t;
     });
+    /** Apart from the leases: a disk that is slow to sync must not hold up renewals. */
+    private final ScheduledExecutorService notes = Executors.newSingleThreadScheduledExecutor(r -> {
+        Thread t = new Thread(r, "notes");
+        t.setDaemon(true);
+        return t;
+    });
     private final ExecutorService calls = Executors.newFixedThreadPool(CALLS, r -> {
         Thread t = new Thread(r, "calls");
         t.setDaemon(true);
@@ -136,7 +142,7 @@
     }
 
     private void noting() {
-        timer.scheduleWithFixedDelay(this::note, NOTE, NOTE, TimeUnit.MILLISECONDS);
+        notes.scheduleWithFixedDelay(this::note, NOTE, NOTE, TimeUnit.MILLISECONDS);
     }
 
     private void note() {
@@ -459,6 +465,7 @@
 
     @Override public void close() throws IOException {
         timer.shutdownNow();
+        notes.shutdownNow();
         admissions.shutdownNow();
         calls.shutdownNow();
         client.close();
