See a close behind a full pipeline: refuse what is too much instead of not reading it

Ruled out for full memory: there the close was seen (the test passes without the change, and stays). Ruled out for a client that reads no answers: what is written to it fails. Now commands behind 256 unanswered ones, or behind one while memory is full, are refused in their turn, and a run of refused ones is kept as one. Between requests a full memory still stops reading.

--- a/src/main/java/willowyoke/net/ClientListener.java
+++ b/src/main/java/willowyoke/net/ClientListener.java
@@ -29,11 +29,12 @@
 
 /** Clients' connections: commands in, answers out in the order of the commands. */
 final class ClientListener {
-    /** So many commands unanswered on one connection are enough: it is read on when some are answered. */
+    /** So many commands unanswered on one connection are enough: those behind them are refused. */
     private static final int PIPELINED = 256;
     /** A client that does not close its side after ours has ended is cut off after this (ms). */
     private static final int LINGER = 200;
     private static final int MOST_WORDS = 16;
+    private static final RedisMessage BUSY = new ErrorRedisMessage("BUSY");
     /** What a client has not yet read of a long answer (bytes): here, and below us. */
     private static final WriteBufferWaterMark UNWRITTEN = new WriteBufferWaterMark(16 * 1024, 32 * 1024);
     private static final int SEND_BUFFER = 128 * 1024;
@@ -132,6 +133,8 @@
         private final Connection connection;
         private final ArrayDeque<RedisMessage> pieces = new ArrayDeque<>(0);
         private RedisMessage answer;
+        /** So many commands in a row get this answer: of those refused unread, however many, one is kept. */
+        private int times = 1;
         private Source source;
         Node.Request request;
 
@@ -186,6 +189,11 @@
                 open.add(this); // the least recently used first
             }
             spoken = true;
+            if (slots.size() >= PIPELINED || !slots.isEmpty() && node.full()) {
+                refuse();
+                ReferenceCountUtil.release(msg);
+                return;
+            }
             Slot slot = new Slot(this);
             slots.add(slot);
             try {
@@ -201,6 +209,18 @@
             hold();
         }
 
+        /** Answered in its turn without being taken: reading on is how a close is noticed. */
+        private void refuse() {
+            Slot last = slots.peekLast();
+            if (last.answer == BUSY) {
+                last.times++;
+            } else {
+                Slot slot = new Slot(this);
+                slots.add(slot);
+                slot.answer(BUSY);
+            }
+        }
+
         private void command(Slot slot, ArrayRedisMessage command) {
             String verb = Resp.text(command.children().get(0));
             if ("CALL.GET".equals(verb) || "CALL.POST".equals(verb)) {
@@ -215,10 +235,13 @@
             }
         }
 
-        /** Reading stops while too much is unanswered, unread by the client, or held by all. */
+        /**
+         * Reading stops while the client reads no answers, and between its requests while all hold too much.
+         * It goes on while something waits here that a close would end: that shows in what is read, or, where
+         * answers are unread, in these.
+         */
         private void hold() {
-            boolean read = deaf
-                || slots.size() < PIPELINED && channel.isWritable() && !node.full();
+            boolean read = deaf || channel.isWritable() && !(slots.isEmpty() && node.full());
             if (channel.config().isAutoRead() != read) {
                 channel.config().setAutoRead(read);
             }
@@ -235,9 +258,9 @@
 
         private void drain() {
             while (!slots.isEmpty() && (slots.peek().answer != null || passedOn(slots.peek()))) {
-                RedisMessage answer = slots.poll().answer;
-                if (answer != null) {
-                    channel.write(answer, channel.voidPromise());
+                Slot slot = slots.poll();
+                for (int i = 0; slot.answer != null && i < slot.times; i++) {
+                    channel.write(slot.answer, channel.voidPromise());
                     node.flushLater(channel);
                 }
             }
--- a/src/test/java/willowyoke/net/EndingsTest.java
+++ b/src/test/java/willowyoke/net/EndingsTest.java
@@ -238,6 +238,76 @@
         }
     }
 
+    /** Reading is how a close is noticed: more commands than are taken at once do not stop it. */
+    @Test void aCloseBehindAFullPipelineIsSeen() throws Exception {
+        start(app.address());
+        Peer.Line client = client();
+        StringBuilder many = new StringBuilder();
+        for (int i = 0; i < 30_000; i++) { // more than is read at once
+            many.append(call(i, "hold", 60_000));
+        }
+        client.write(many.toString());
+        for (int i = 1; i <= 256; i++) {
+            expect("arrived " + i);
+        }
+        client.close();
+        int gone = 0;
+        while (gone < 256) {
+            String text = told.poll(10, TimeUnit.SECONDS);
+            assertTrue(text != null, gone + " are known to be gone");
+            gone += text.startsWith("gone") ? 1 : 0;
+        }
+    }
+
+    /** Those behind a full pipeline are refused, each in its turn. */
+    @Test void commandsBehindAFullPipelineAreRefusedInTurn() throws Exception {
+        start(app.address());
+        Peer.Line client = client();
+        StringBuilder many = new StringBuilder();
+        for (int i = 1; i <= 300; i++) {
+            many.append(call(i, i == 1 ? "send" : "hold", 5000));
+        }
+        client.write(many.toString());
+        Peer.Line server = app.accept();
+        server.message();
+        server.value("one");
+        assertEquals(List.of("one"), client.message());
+        for (int i = 2; i <= 300; i++) {
+            assertEquals(List.of(i <= 256 ? "-ERR failed" : "-BUSY"), client.message(), "answer " + i);
+        }
+        client.write(call(7, "send", 20_000));
+        assertEquals("07", server.message().get(2));
+    }
+
+    /** The same where so much is held that no more is taken in. */
+    @Test void aCloseIsSeenWhileMemoryIsFull() throws Exception {
+        start(app.address());
+        Peer.Line client = client();
+        String body = "$65536\r\n" + "x".repeat(65_536) + "\r\n";
+        Thread writing = new Thread(() -> {
+            try {
+                for (int i = 0; i < 250; i++) { // 16 MB, of which 8 are taken
+                    client.write(call(i, "hold", 60_000).replace("*4", "*5").replace("GET", "PUT")
+                        .replace("$8\r\nCALL.PUT", "$9\r\nCALL.POST") + body);
+                }
+                client.close();
+            } catch (IOException e) {
+                told.add("writing: " + e);
+            }
+        });
+        writing.start();
+        for (int i = 1; i <= 128; i++) {
+            expect("arrived " + i);
+        }
+        writing.join();
+        int gone = 0;
+        while (gone < 128) {
+            String text = told.poll(10, TimeUnit.SECONDS);
+            assertTrue(text != null, gone + " are known to be gone");
+            gone += text.startsWith("gone") ? 1 : 0;
+        }
+    }
+
     /** What makes no sense has one answer, and is not decoded message by message: that held up others. */
     @Test void whatComesBehindMalformedInputIsNotDecoded() {
         int[] failures = new int[1];
