Read lists as JSON values and know a silent watch after 3 s; leave an old address at once

Shown by tests that fail without the change: an indented list ended the watch, a list with no line feed behind it was not taken, an answer without a length was lost with its reset although its list was whole. By the constants: a silent watch was known after 5.5 s and asked again up to 3 s later, with a connect of 1 s between: 9.5 s, where 6 count as told. After SIGHUP a wait of up to 3 s and a connect to the old address of 1 s came first, where 4 s count. Now 3.25 s (lines come every 2 s), waits of 0.6 s at most, as what comes back counts at once and a drain has to hold within a second (half of one at the other site), and SIGHUP ends a wait or a try that is under way, at the counter too. A value counts when its last brace has come, so a reset in the middle of one ends nothing.

--- a/src/main/java/willowyoke/net/CounterClient.java
+++ b/src/main/java/willowyoke/net/CounterClient.java
@@ -104,9 +104,7 @@
             return;
         }
         for (Line line : lines) {
-            if (line.channel != null) {
-                line.channel.close();
-            }
+            line.leave();
         }
     }
 
@@ -186,17 +184,29 @@
     private final class Line {
         private final ArrayDeque<Call> calls = new ArrayDeque<>();
         private Channel channel;
+        private ChannelFuture trying;
         private double openedAt;
         private double usedAt;
 
+        /** Ends the connection, or the try for one, and goes on at the address that holds now. */
+        void leave() {
+            if (channel != null) {
+                channel.close();
+            } else if (trying != null) {
+                trying.channel().close();
+            }
+        }
+
         void connect() {
             ChannelFuture connected = bootstrap.clone().handler(new ChannelInitializer<SocketChannel>() {
                 @Override protected void initChannel(SocketChannel channel) {
                     channel.pipeline().addLast(
                         new Answers(Resp.codec(channel.pipeline(), MOST_ELEMENTS, LONGEST_ANSWER)));
                 }
-            }).connect(address); // where it moves meanwhile, the old address takes no new connections
+            }).connect(address);
+            trying = connected;
             connected.addListener(f -> {
+                trying = null;
                 if (f.isSuccess()) {
                     channel = connected.channel();
                     openedAt = node.now();
--- a/src/main/java/willowyoke/net/Discovery.java
+++ b/src/main/java/willowyoke/net/Discovery.java
@@ -1,10 +1,14 @@
 package willowyoke.net;
 
 import com.fasterxml.jackson.core.JacksonException;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.json.async.NonBlockingJsonParser;
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.util.TokenBuffer;
 import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -20,8 +24,9 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import java.io.ByteArrayOutputStream;
+import io.netty.util.concurrent.Future;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
@@ -37,14 +42,18 @@
  */
 final class Discovery {
     private static final String PATH = "/catalog/members";
-    /** A watch sends a line every 2 s: one that is silent for longer (ms) is dead. */
-    private static final double SILENT = 5000;
-    private static final double CHECK = 500;
+    /**
+     * A watch sends a line every 2 s: one that is silent for half as long again (ms) is dead. What it misses
+     * has to be known 6 s after it fell silent: this, a wait and a connect that fails are shorter.
+     */
+    private static final double SILENT = 3000;
+    private static final double CHECK = 250;
     private static final int CONNECT = 1000;
     private static final double BACKOFF = 200;
-    private static final double BACKOFF_MOST = 2000;
-    /** No list is as long as this (bytes); a line that grows past it ends the connection. */
-    private static final int LINE = 8 << 20;
+    /** What comes back counts as told at once, and a drain has to hold within some hundred ms of that. */
+    private static final double BACKOFF_MOST = 400;
+    /** No list is as long as this (bytes); one that grows past it ends the connection. */
+    private static final int LONGEST = 8 << 20;
 
     /** A server as the module knows it, and where it listens. */
     record Member(Gateway.Server server, InetSocketAddress dial) { }
@@ -56,13 +65,14 @@
     private List<InetSocketAddress> addresses;
     private int at;
     private int old; // so many in a row have said that their list is
+    /** The one connection, from the moment that it is tried; null while the next one is waited for. */
     private Channel channel;
+    private Future<?> next;
     private long seq = -1;
     private long epoch; // 0: this list has none
     private boolean anew; // a list was not believed: the next source is asked for all of its own
     private double heardAt;
     private double backoff = BACKOFF;
-    private boolean connecting;
 
     Discovery(Node node, EventLoopGroup group, List<InetSocketAddress> addresses, long seed) {
         this.node = node;
@@ -87,52 +97,67 @@
         check();
     }
 
-    /** Goes on at other addresses, from the version that is known. */
+    /**
+     * Goes on at other addresses, from the version that is known, and at once: a wait or a try that is under
+     * way belongs to the old ones, as does what these still tell.
+     */
     void move(List<InetSocketAddress> to) {
-        if (!to.equals(addresses)) {
-            addresses = to;
-            at %= to.size();
-            if (channel != null) {
-                channel.close(); // renewed at the new one
-            }
+        if (to.equals(addresses)) {
+            return;
+        }
+        addresses = to;
+        at %= to.size();
+        backoff = BACKOFF;
+        if (next != null) {
+            next.cancel(false);
         }
+        Channel before = channel;
+        channel = null;
+        if (before != null) {
+            before.close();
+        }
+        connect();
     }
 
     /** The watch stands or is being renewed all the time. */
     void subscribe() {
-        if (channel == null && !connecting) {
+        if (channel == null && next == null) {
             connect();
         }
     }
 
     private void check() {
         node.after(CHECK, this::check);
-        if (channel != null && node.now() - heardAt > SILENT) {
+        if (channel != null && channel.isActive() && node.now() - heardAt > SILENT) {
             channel.close();
         }
     }
 
     private void connect() {
-        if (connecting || channel != null) {
+        if (channel != null) {
             return;
         }
-        connecting = true;
-        bootstrap.clone().handler(new ChannelInitializer<SocketChannel>() {
+        ChannelFuture connected = bootstrap.clone().handler(new ChannelInitializer<SocketChannel>() {
             @Override protected void initChannel(SocketChannel c) {
-                c.pipeline().addLast(new HttpClientCodec(), new Lines());
+                c.pipeline().addLast(new HttpClientCodec(), new Answers());
             }
-        }).connect(addresses.get(at)).addListener(f -> {
+        }).connect(addresses.get(at));
+        channel = connected.channel();
+        connected.addListener(f -> {
             if (!f.isSuccess()) {
-                connecting = false;
-                again();
+                ended(connected.channel());
             }
         });
     }
 
-    /** The next address; with a wait of its own for each node, or all would come in one step. */
-    private void again() {
+    /** Goes on at the next address; with a wait of its own for each node, or all would come in one step. */
+    private void ended(Channel which) {
+        if (which != channel) {
+            return; // left before
+        }
+        channel = null;
         at = (at + 1) % addresses.size();
-        node.after(backoff * (0.5 + random.nextDouble()), this::connect);
+        next = node.after(backoff * (0.5 + random.nextDouble()), this::connect);
         backoff = Math.min(2 * backoff, BACKOFF_MOST);
         node.discoveryFailed();
         node.flush();
@@ -180,14 +205,18 @@
             state == Gateway.State.GONE && dial.isEmpty() ? null : Config.address(dial));
     }
 
-    private final class Lines extends SimpleChannelInboundHandler<HttpObject> {
-        private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+    /**
+     * The answers on a connection: values in JSON, one after another, however they are laid out and cut. One
+     * counts when it is whole, so a reset is no end of one, whatever the codec makes of it.
+     */
+    private final class Answers extends SimpleChannelInboundHandler<HttpObject> {
+        private final NonBlockingJsonParser json = parser();
+        private TokenBuffer value = new TokenBuffer(Config.JSON, false);
+        private int length;
         private boolean watching;
         private boolean good;
 
         @Override public void channelActive(ChannelHandlerContext ctx) {
-            connecting = false;
-            channel = ctx.channel();
             ask(ctx);
         }
 
@@ -202,27 +231,17 @@
         }
 
         @Override protected void channelRead0(ChannelHandlerContext ctx, HttpObject msg) throws IOException {
+            if (ctx.channel() != channel) {
+                return; // of an address that has been left
+            }
             heardAt = node.now();
             if (msg instanceof HttpResponse response) {
                 good = response.status().code() == 200;
             }
-            if (msg instanceof HttpContent content && good) {
-                ByteBuf in = content.content();
-                while (in.isReadable()) {
-                    int end = in.bytesBefore((byte) '\n');
-                    in.readBytes(line, end < 0 ? in.readableBytes() : end);
-                    if (end >= 0) {
-                        in.skipBytes(1);
-                        line(ctx);
-                    } else if (line.size() > LINE) {
-                        ctx.close();
-                    }
-                }
+            if (msg instanceof HttpContent content && good && content.content().isReadable()) {
+                read(ctx, ByteBufUtil.getBytes(content.content()));
             }
             if (msg instanceof LastHttpContent) {
-                if (good && !watching && line.size() > 0) {
-                    line(ctx);
-                }
                 if (good && !watching && seq >= 0 && !anew && ctx.channel().isActive()) {
                     ask(ctx); // the list is here; the watch goes on from it
                 } else {
@@ -231,15 +250,30 @@
             }
         }
 
-        private void line(ChannelHandlerContext ctx) throws IOException {
-            byte[] text = line.toByteArray();
-            line.reset();
-            if (new String(text, java.nio.charset.StandardCharsets.UTF_8).isBlank()) {
+        private void read(ChannelHandlerContext ctx, byte[] bytes) throws IOException {
+            length += bytes.length;
+            json.feedInput(bytes, 0, bytes.length);
+            boolean empty = json.getParsingContext().inRoot();
+            for (JsonToken t = json.nextToken(); t != JsonToken.NOT_AVAILABLE; t = json.nextToken()) {
+                empty = false;
+                value.copyCurrentEvent(json);
+                if (json.getParsingContext().inRoot()) {
+                    JsonNode told = value.asParser(Config.JSON).readValueAsTree();
+                    value = new TokenBuffer(Config.JSON, false);
+                    length = 0;
+                    told(ctx, told);
+                }
+            }
+            if (empty) { // nothing has changed
+                length = 0;
                 backoff = BACKOFF;
-                ready.complete(null); // nothing has changed
-                return;
+                ready.complete(null);
+            } else if (length > LONGEST) {
+                ctx.close();
             }
-            JsonNode told = Config.JSON.readTree(text);
+        }
+
+        private void told(ChannelHandlerContext ctx, JsonNode told) {
             if (take(told)) {
                 anew = false;
                 backoff = BACKOFF;
@@ -258,8 +292,7 @@
         }
 
         @Override public void channelInactive(ChannelHandlerContext ctx) {
-            channel = null;
-            again();
+            ended(ctx.channel());
         }
 
         @Override public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
@@ -269,4 +302,12 @@
             ctx.close();
         }
     }
+
+    private static NonBlockingJsonParser parser() {
+        try {
+            return (NonBlockingJsonParser) Config.JSON.getFactory().createNonBlockingByteArrayParser();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e); // it opens nothing
+        }
+    }
 }
--- a/src/test/java/willowyoke/net/EndingsTest.java
+++ b/src/test/java/willowyoke/net/EndingsTest.java
@@ -325,4 +325,38 @@
         channel.finishAndReleaseAll();
         assertEquals(1, failures[0]);
     }
+
+    /** A list may come indented, in pieces, and with nothing behind it. */
+    @Test void aListIsReadHoweverItIsLaidOut() throws Exception {
+        start(app.address());
+        push("{\n  \"seq\" : 42,\n  \"whole\" : false,\n  \"hosts\" : [\n    "
+            + entry("s1", "127.0.0.1:9", "active").replace(",", ",\n      ") + "\n  ]\n}");
+        expect("changes s1 UP");
+        String next = "{\"seq\":43,\"whole\":false,\"hosts\":[" + entry("s2", "127.0.0.1:9", "active") + "]}";
+        for (char c : next.toCharArray()) {
+            push(String.valueOf(c));
+        }
+        expect("changes s2 UP");
+        push("{\"seq\":44,\"whole\":false,\"hosts\":[]}{\"seq\":45,\r\n\"whole\":false,\"hosts\":[]}\r\n");
+        push("\r\n");
+        expect("changes");
+        expect("changes");
+        watch.close();
+        question("?follow=1&since=45");
+    }
+
+    /** An answer without a length ends with its connection; a reset is no end: half of a list is none. */
+    @Test void aListThatIsResetOnItsWayIsNotTaken() throws Exception {
+        start(app.address());
+        watch.close();
+        question("?follow=1&since=41");
+        watch.write("HTTP/1.1 200 OK\r\n\r\n{\"seq\":50,\"whole\":true,\"hosts\":[\n"
+            + entry("s1", "127.0.0.1:9", "active") + ",\n");
+        watch.socket.setSoLinger(true, 0);
+        watch.close();
+        question("?follow=1&since=41");
+        watch.write("HTTP/1.1 200 OK\r\n\r\n{\"seq\":51,\"whole\":true,\"hosts\":[\n"
+            + entry("s2", "127.0.0.1:9", "active") + "]}");
+        expect("whole s2 UP");
+    }
 }
