Check what bounds an attempt when it is written, a round of the loop after the decision

Now an attempt is waiting, being written, written or ended. The module tells with each send until when it may be written: the deadline, for a keyed repeat the window from the first attempt that may have run (RulesTest). What is decided is written in the next round of the loop, after the sockets were read once more, and only where its client still waits, in time, at a server that is up. When a request is over, what is not written whole is taken back whatever the settings allow to be cancelled. An answer to what is not written whole belongs to the request before. A kept connection that ends before anything was written on it gives its attempt to another one.

--- a/src/main/java/willowyoke/Decide.java
+++ b/src/main/java/willowyoke/Decide.java
@@ -1006,6 +1006,7 @@
     // ---- attempts: sends, retries ----
 
     private void send(Req r, Host h) {
+        act.send(r.told.id(), h.id, 0, repeatBy(r)); // a connection may come up late: it is written by then
         Attempt a = new Attempt(r, h, now);
         r.attempts.add(a);
         r.out++;
@@ -1017,12 +1018,11 @@
         h.turn += h.part > 0 ? 1 / (h.part * own) : 1;
         paceCredit--;
         at(Kind.LATE, now + r.type.told.aim() / 2, r);
-        act.send(r.told.id(), h.id, 0);
     }
 
     /** Every attempt has ended without an answer: try elsewhere where it is allowed and of use, or answer. */
     private void again(Req r) {
-        if (now >= r.useful || now >= r.deadline - 2 * set.tick() || !mayRepeat(r)
+        if (now >= r.useful || now >= r.deadline - 2 * set.tick() || now >= repeatBy(r)
             || r.attempts.size() >= r.most) {
             answer(r);
             return;
@@ -1103,13 +1103,13 @@
         return age >= warm ? 1 : cold + (1 - cold) * Math.max(0, age) / warm;
     }
 
-    /** Whether another attempt may go out now, wherever it goes; two are never out together. */
-    private boolean mayRepeat(Req r) {
+    /** Until when another attempt may go out, wherever it goes; two are never out together. */
+    private double repeatBy(Req r) {
         OptionalDouble ran = r.attempts.stream().filter(Attempt::mayHaveRun).mapToDouble(a -> a.sent).min();
-        return ran.isEmpty() || switch (r.type.told.effect()) {
-            case SAFE -> true;
-            case KEYED -> now - ran.getAsDouble() < r.type.told.window() - 2 * set.tick();
-            case UNSAFE -> false;
+        return ran.isEmpty() ? r.deadline : switch (r.type.told.effect()) {
+            case SAFE -> r.deadline;
+            case KEYED -> ran.getAsDouble() + r.type.told.window() - 2 * set.tick();
+            case UNSAFE -> Double.NEGATIVE_INFINITY;
         };
     }
 
--- a/src/main/java/willowyoke/Gateway.java
+++ b/src/main/java/willowyoke/Gateway.java
@@ -113,7 +113,8 @@
 
     /** What an instance asks of its host. */
     interface Actions {
-        void send(long id, String server, double until);
+        /** Until: when the attempt is given up, 0 where its client decides; by: not to be written later. */
+        void send(long id, String server, double until, double by);
 
         void cancel(long id, int attempt);
 
--- a/src/main/java/willowyoke/Wire.java
+++ b/src/main/java/willowyoke/Wire.java
@@ -41,7 +41,7 @@
             return out.append(word);
         }
 
-        @Override public void send(long id, String server, double until) {
+        @Override public void send(long id, String server, double until, double by) {
             word("PLACE\t").append(id).append('\t').append(server).append('\t')
                 .append(plain(until)).append('\n');
         }
--- a/src/main/java/willowyoke/net/Node.java
+++ b/src/main/java/willowyoke/net/Node.java
@@ -323,6 +323,11 @@
         group.execute(() -> guarded(what));
     }
 
+    /** With the sockets looked at once more before: a timer that is due at once waits for the next round. */
+    void nextRound(Runnable what) {
+        group.execute(() -> after(0, what));
+    }
+
     private void guarded(Runnable what) {
         try {
             what.run();
@@ -497,10 +502,16 @@
         answer(r, new ErrorRedisMessage("ERR failed"));
     }
 
+    /** From here on nothing is written for it: what still waits is taken back, whatever may be cancelled. */
     private void over(Request r) {
         r.over = true;
         inFlight--;
         r.slot.request = null;
+        for (ServerPool.Attempt a : r.attempts) {
+            if (a.unsent()) {
+                later(() -> servers.withdraw(a));
+            }
+        }
         if (r.out == 0) {
             r.timer.cancel(false);
         }
@@ -577,16 +588,16 @@
 
     // ---- actions of the module ----
 
-    @Override public void send(long id, String server, double until) {
+    @Override public void send(long id, String server, double until, double by) {
         Request r = requests.get(id);
         if (r == null) {
             return;
         }
-        ServerPool.Attempt a = new ServerPool.Attempt(r, r.attempts.size(), server, now());
+        ServerPool.Attempt a = new ServerPool.Attempt(r, r.attempts.size(), server, now(), by);
         r.attempts.add(a);
         r.out++;
         if (r.over || a.sent >= r.deadline || a.number >= r.most) {
-            a.done = true;
+            a.state = ServerPool.State.ENDED;
             later(() -> attemptEnded(a, Gateway.Outcome.NOT_SENT, null, ServerPool.NO_LOAD));
             return;
         }
--- a/src/main/java/willowyoke/net/Resp.java
+++ b/src/main/java/willowyoke/net/Resp.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.redis.ArrayRedisMessage;
 import io.netty.handler.codec.redis.BulkStringHeaderRedisMessage;
 import io.netty.handler.codec.redis.BulkStringRedisContent;
+import io.netty.handler.codec.redis.ErrorRedisMessage;
 import io.netty.handler.codec.redis.FixedRedisMessagePool;
 import io.netty.handler.codec.redis.FullBulkStringRedisMessage;
 import io.netty.handler.codec.redis.LastBulkStringRedisContent;
@@ -164,6 +165,10 @@
             ? bulk.content().toString(StandardCharsets.UTF_8) : null;
     }
 
+    static boolean isBusy(RedisMessage message) {
+        return message instanceof ErrorRedisMessage error && error.content().startsWith("BUSY");
+    }
+
     static boolean isValue(RedisMessage message) {
         return message instanceof FullBulkStringRedisMessage bulk && !bulk.isNull();
     }
--- a/src/main/java/willowyoke/net/ServerPool.java
+++ b/src/main/java/willowyoke/net/ServerPool.java
@@ -47,22 +47,38 @@
     private static final Map<String, String> FIELDS = Map.of("inflight", "outstanding", "queue", "backlog",
         "util", "utilization", "latency_ms", "recent_ms", "qps", "throughput", "eps", "errors_per_s");
 
+    /** Of an attempt: no byte of it has gone out, some may have, all have, it has ended. */
+    enum State { WAITING, WRITING, WRITTEN, ENDED }
+
     /** What is out on a connection: an attempt of a request, or a probe. */
     static class Attempt {
         final Node.Request request;
         final int number;
         final String server;
         final double sent;
-        boolean done;
+        /** Not worth writing from then on: the decision holds no longer than that. */
+        final double by;
+        State state = State.WAITING;
         /** When the first bytes of a long value came; 0 for all others. */
         double began;
         private Link link;
 
-        Attempt(Node.Request request, int number, String server, double sent) {
+        Attempt(Node.Request request, int number, String server, double sent, double by) {
             this.request = request;
             this.number = number;
             this.server = server;
             this.sent = sent;
+            this.by = by;
+        }
+
+        /** Whether its client still waits for it, and in time. */
+        private boolean worthWriting(double now) {
+            return request == null || !request.over && now < Math.min(by, request.deadline);
+        }
+
+        /** Not whole at its server, where it then cannot have run. */
+        boolean unsent() {
+            return state == State.WAITING || state == State.WRITING;
         }
     }
 
@@ -86,6 +102,8 @@
     private final Config config;
     private final int most;
     private final Map<String, Target> targets = new HashMap<>();
+    /** Connections with an attempt to be written in the next round of the loop. */
+    private final ArrayDeque<Link> ready = new ArrayDeque<>();
     private Set<String> detached = Set.of();
     private int open;
 
@@ -187,7 +205,7 @@
         }
         for (Link link = t.idle.pollLast(); link != null; link = t.idle.pollLast()) {
             if (link.channel.isActive() && !link.frames.surplus()) {
-                link.write(a);
+                link.take(a);
                 return;
             }
             link.channel.close();
@@ -201,36 +219,66 @@
     }
 
     void probe(String server) {
-        Attempt a = new Attempt(null, 0, server, node.now());
+        Attempt a = new Attempt(null, 0, server, node.now(), Double.MAX_VALUE);
         node.after(PROBE_WITHIN, () -> giveUp(a, Gateway.Outcome.TIMEOUT));
         send(a);
     }
 
     /** Stops waiting for an attempt. One that was not written whole cannot have run. */
     void giveUp(Attempt a, Gateway.Outcome outcome) {
-        if (a.done) {
+        if (a.state == State.ENDED) {
             return;
         }
         Link link = a.link;
-        boolean unsent = link == null || !link.written;
-        end(a, unsent && outcome == Gateway.Outcome.TIMEOUT ? Gateway.Outcome.NO_CONNECTION : outcome, null,
-            NO_LOAD);
+        boolean untouched = a.state == State.WAITING;
+        end(a, a.unsent() && outcome == Gateway.Outcome.TIMEOUT ? Gateway.Outcome.NO_CONNECTION : outcome,
+            null, NO_LOAD);
         if (link == null) {
             Target t = targets.get(a.server);
             if (t != null) {
                 t.waiting.remove(a);
             }
+        } else if (untouched) {
+            link.current = null;
+            link.free();
         } else {
             link.current = null;
             link.channel.close(); // its answer is still owed on it: never to be used again
         }
     }
 
+    /** Takes back an attempt that is not written whole: it never runs. Others go on. */
+    void withdraw(Attempt a) {
+        if (a.unsent()) {
+            giveUp(a, Gateway.Outcome.NOT_SENT);
+        }
+    }
+
+    /**
+     * Writes what was taken on in the last round of the loop, with the sockets read once more since: a client
+     * whose close stood behind its request has gone by now.
+     */
+    private void writeReady() {
+        for (Link link = ready.poll(); link != null; link = ready.poll()) {
+            Attempt a = link.current;
+            if (a == null || a.state != State.WAITING) {
+                continue;
+            }
+            if (!link.target.up) {
+                giveUp(a, Gateway.Outcome.NO_CONNECTION); // it drains since
+            } else if (a.worthWriting(node.now())) {
+                link.write(a);
+            } else {
+                giveUp(a, Gateway.Outcome.NOT_SENT);
+            }
+        }
+    }
+
     private void end(Attempt a, Gateway.Outcome outcome, RedisMessage value, double[] load) {
-        if (a.done) {
+        if (a.state == State.ENDED) {
             return;
         }
-        a.done = true;
+        a.state = State.ENDED;
         if (a.request == null) {
             node.probed(a.server, outcome, node.now() - a.sent, load);
         } else {
@@ -278,7 +326,7 @@
                 t.links.add(link);
                 link.free();
             }
-                node.flush();
+            node.flush();
         });
     }
 
@@ -289,22 +337,31 @@
         private Attempt current;
         /** Its request is answered; it is free for the next once all that has come is read. */
         private boolean spent;
-        private boolean written;
         private double usedAt;
+        /** It has answered before. */
+        private boolean used;
 
         Link(Target target) {
             this.target = target;
         }
 
-        void write(Attempt a) {
+        /** Takes an attempt on, to be written in the next round. */
+        void take(Attempt a) {
             current = a;
             a.link = this;
-            written = false;
+            if (ready.isEmpty()) {
+                node.nextRound(ServerPool.this::writeReady);
+            }
+            ready.add(this);
+        }
+
+        private void write(Attempt a) {
+            a.state = State.WRITING;
             ArrayRedisMessage command = a.request == null ? Resp.command(channel.alloc(), "INFO", "load")
                 : a.request.call.forward(a.request.command, a.request.deadline - node.now(), channel.alloc());
             channel.write(command).addListener(f -> {
-                if (current == a) {
-                    written = f.isSuccess();
+                if (f.isSuccess() && a.state == State.WRITING) {
+                    a.state = State.WRITTEN;
                 }
                 if (f.isSuccess() && a.request != null) {
                     node.attempted();
@@ -316,9 +373,9 @@
         /** Ready for the next request: the one that has waited longest, if there is one. */
         void free() {
             usedAt = node.now();
-            Attempt next = target.up ? target.waiting.poll() : null;
+            Attempt next = target.up && channel.isActive() ? target.waiting.poll() : null;
             if (next != null) {
-                write(next);
+                take(next);
             } else if (target.up) {
                 target.idle.addLast(this);
             } else {
@@ -326,12 +383,23 @@
             }
         }
 
+        /** Of no use any more: an attempt not begun on a connection kept from before waits for another. */
+        private void leave() {
+            Attempt a = current;
+            if (a != null && a.state == State.WAITING && used) {
+                current = null;
+                a.link = null;
+                send(a);
+            }
+            channel.close();
+        }
+
         @Override public void channelRead(ChannelHandlerContext ctx, Object msg) {
             try {
                 frames.whole();
                 Attempt a = current;
-                if (a == null) {
-                    channel.close(); // nothing was asked: whatever follows would answer the wrong request
+                if (a == null || a.unsent()) {
+                    unasked(a, (RedisMessage) msg);
                     return;
                 }
                 answered(a, (RedisMessage) msg);
@@ -344,8 +412,19 @@
             }
         }
 
+        /** Nothing was asked, or not wholly: what comes is no answer, and the rest must not become a copy. */
+        private void unasked(Attempt a, RedisMessage msg) {
+            leave();
+            if (current == a && a != null) {
+                current = null;
+                end(a, !used && Resp.isBusy(msg) ? Gateway.Outcome.FULL : Gateway.Outcome.NOT_SENT, null,
+                    NO_LOAD);
+            }
+        }
+
         @Override public boolean began(BulkStringHeaderRedisMessage header) {
-            return current != null && current.request != null && node.passing(current, header, this::read);
+            return current != null && current.request != null && current.state == State.WRITTEN
+                && node.passing(current, header, this::read);
         }
 
         @Override public void piece(BulkStringRedisContent piece) {
@@ -368,7 +447,7 @@
                     parts.size() > 2 ? load(Resp.text(parts.get(2))) : NO_LOAD);
             } else if (msg instanceof ErrorRedisMessage error) {
                 String text = error.content();
-                boolean busy = text.startsWith("BUSY");
+                boolean busy = Resp.isBusy(error);
                 if (!busy && !text.startsWith("ERR")) {
                     node.log("app server", new IllegalStateException(text));
                 }
@@ -385,6 +464,7 @@
         @Override public void channelReadComplete(ChannelHandlerContext ctx) {
             if (spent && channel.isActive()) {
                 spent = false;
+                used = true;
                 if (frames.surplus()) {
                     channel.close();
                 } else {
@@ -398,10 +478,12 @@
             open--;
             target.idle.remove(this);
             target.links.remove(this);
+            leave();
             Attempt a = current;
             current = null;
             if (a != null) {
-                end(a, written ? Gateway.Outcome.RESET : Gateway.Outcome.NO_CONNECTION, null, NO_LOAD);
+                end(a, a.state == State.WRITTEN ? Gateway.Outcome.RESET : Gateway.Outcome.NO_CONNECTION, null,
+                    NO_LOAD);
             }
             node.flush();
         }
@@ -410,6 +492,8 @@
             if (!(cause instanceof java.io.IOException)) {
                 node.log("app server connection", cause);
             }
+            frames.deaf();
+            leave();
             Attempt a = current;
             if (a != null && cause instanceof CodecException
                 && !(cause instanceof PrematureChannelClosureException)) {
--- a/src/main/java/willowyoke/net/Warmup.java
+++ b/src/main/java/willowyoke/net/Warmup.java
@@ -97,7 +97,7 @@
     private final class Taker implements Gateway.Actions {
         private final Map<Long, Integer> attempts = new HashMap<>();
 
-        @Override public void send(long id, String server, double until) {
+        @Override public void send(long id, String server, double until, double by) {
             sent.add(new Sent(id, attempts.merge(id, 1, Integer::sum) - 1));
         }
 
--- a/src/test/java/willowyoke/Bench.java
+++ b/src/test/java/willowyoke/Bench.java
@@ -11,6 +11,8 @@
     final List<double[]> timers = new ArrayList<>();
     final List<long[]> calls = new ArrayList<>();
     final List<Double> totals = new ArrayList<>();
+    /** Until when the last send was worth writing. */
+    double lastBy;
     Map<Long, Double> sums = new HashMap<>();
     int me;
     long seed = 7;
@@ -143,7 +145,8 @@
         return found;
     }
 
-    @Override public void send(long id, String server, double until) {
+    @Override public void send(long id, String server, double until, double by) {
+        lastBy = by;
         log.add("send " + id + " " + server);
     }
 
--- a/src/test/java/willowyoke/RulesTest.java
+++ b/src/test/java/willowyoke/RulesTest.java
@@ -23,6 +23,25 @@
         assertEquals(1, b.count("fail 1") + b.count("refuse 1"));
     }
 
+    /** A connection may come up late: what the window and the deadline allow is told with each send. */
+    @Test void eachSendTellsUntilWhenItMayBeWritten() {
+        Bench b = Bench.plain().start().servers(4);
+        b.arrive(1, "all", "big", "c");
+        assertEquals(2000, b.lastBy, "the first attempt: its deadline");
+        b.to(100);
+        b.end(1, 0, Gateway.Outcome.NO_CONNECTION);
+        assertEquals(2, b.count("send 1 "));
+        assertEquals(2000, b.lastBy, "nothing has run yet");
+        b.to(200);
+        b.end(1, 1, Gateway.Outcome.ERROR);
+        assertEquals(3, b.count("send 1 "));
+        assertEquals(100 + 400 - 2 * 2, b.lastBy, "the window runs from the first that may have run");
+        b.arrive(2, "read", "big", "c");
+        b.end(2, 0, Gateway.Outcome.ERROR);
+        assertEquals(2, b.count("send 2 "));
+        assertEquals(2200, b.lastBy, "safe to repeat: its deadline");
+    }
+
     /** Out by hand: nothing new and no further attempt, whatever the list says, until it is put back. */
     @Test void aServerOutByHandGetsNothing() {
         Bench b = Bench.plain().start();
--- a/src/test/java/willowyoke/net/EndingsTest.java
+++ b/src/test/java/willowyoke/net/EndingsTest.java
@@ -90,7 +90,7 @@
                     act.fail(r.id());
                 } else {
                     if (r.type().equals("send")) {
-                        act.send(r.id(), "s0", 0);
+                        act.send(r.id(), "s0", 0, (double) args[0] + worth);
                     }
                     told.add("arrived " + r.id());
                 }
@@ -238,6 +238,88 @@
         }
     }
 
+    /** Nothing here allows cancelling: what was never sent may be taken back all the same. */
+    @Test void anAttemptThatWaitsForAConnectionGoesWithItsClient() throws Exception {
+        try (FullDoor late = new FullDoor()) {
+            start(late.address());
+            Peer.Line leaver = client();
+            leaver.write(call(1, "send", 20_000));
+            expect("arrived 1");
+            leaver.close();
+            expect("gone 1");
+            expect("ended 1 NOT_SENT true");
+            client().write(call(2, "send", 20_000));
+            expect("arrived 2");
+            assertEquals("02", late.accept().message().get(2));
+        }
+    }
+
+    /** The decision was good for so long only, as a repeat window ends: a later connection is no use. */
+    @Test void anAttemptIsNotWrittenPastItsTime() throws Exception {
+        try (FullDoor late = new FullDoor()) {
+            start(late.address());
+            worth = 1;
+            Peer.Line client = client();
+            client.write(call(1, "send", 20_000));
+            expect("arrived 1");
+            worth = Double.MAX_VALUE;
+            client().write(call(2, "send", 20_000));
+            expect("arrived 2");
+            assertEquals("02", late.accept().message().get(2));
+            expect("ended 1 NOT_SENT false");
+            assertEquals(List.of("-ERR failed"), client.message());
+        }
+    }
+
+    @Test void aCloseRightBehindARequestIsSeenBeforeItIsSentOn() throws Exception {
+        start(app.address());
+        Peer.Line stayer = client();
+        Peer.Line server = idleConnection(stayer);
+        Peer.Line leaver = client();
+        leaver.command("PING");
+        leaver.message();
+        stopLoop();
+        leaver.write(call(2, "send", 20_000));
+        leaver.close();
+        goOn.countDown();
+        expect("arrived 3");
+        expect("gone 3");
+        expect("ended 3 NOT_SENT true");
+        stayer.write(call(4, "send", 20_000));
+        assertEquals("04", server.message().get(2));
+    }
+
+    /** What comes late belongs to the request before, and the next one goes on another connection. */
+    @Test void aSecondAnswerThatMeetsTheNextRequestIsNotItsAnswer() throws Exception {
+        start(app.address());
+        Peer.Line client = client();
+        Peer.Line server = idleConnection(client);
+        stopLoop();
+        client.write(call(2, "send", 20_000));
+        server.value("one again");
+        goOn.countDown();
+        Peer.Line other = app.accept();
+        assertEquals("02", other.message().get(2));
+        other.value("two");
+        assertEquals(List.of("two"), client.message());
+        assertTrue(server.ended());
+    }
+
+    /** The list comes while a request for the server is read: nothing goes to one that drains by then. */
+    @Test void aDrainIsSeenBeforeARequestIsSentOn() throws Exception {
+        start(app.address());
+        Peer.Line client = client();
+        Peer.Line server = idleConnection(client);
+        stopLoop();
+        client.write(call(2, "send", 20_000));
+        push("{\"seq\":42,\"whole\":false,\"hosts\":[" + entry("s0", app.address(), "leaving") + "]}\n");
+        goOn.countDown();
+        expect("arrived 3");
+        expect("changes s0 DRAINING");
+        expect("ended 3 NO_CONNECTION false");
+        assertTrue(server.ended());
+    }
+
     /** Reading is how a close is noticed: more commands than are taken at once do not stop it. */
     @Test void aCloseBehindAFullPipelineIsSeen() throws Exception {
         start(app.address());
--- a/src/test/java/willowyoke/net/NodeTest.java
+++ b/src/test/java/willowyoke/net/NodeTest.java
@@ -66,15 +66,15 @@
                 case "other" -> act.count(78, 1, 4000);
                 case "again" -> again = r.id();
                 case "twice" -> {
-                    act.send(r.id(), "s0", 0);
-                    act.send(r.id(), "s0", 0);
+                    act.send(r.id(), "s0", 0, Double.MAX_VALUE);
+                    act.send(r.id(), "s0", 0, Double.MAX_VALUE);
                 }
                 case "probe" -> act.probe("s0");
                 case "cancel" -> {
-                    act.send(r.id(), "s0", 0);
+                    act.send(r.id(), "s0", 0, Double.MAX_VALUE);
                     act.timer(300, r.id());
                 }
-                default -> act.send(r.id(), "s0", 0);
+                default -> act.send(r.id(), "s0", 0, Double.MAX_VALUE);
             }
         }
 
@@ -102,8 +102,8 @@
             StringBuilder text = new StringBuilder("settings ").append(settings.allowed().attempts());
             settings.classes().forEach(c -> text.append(' ').append(c.name()).append(' ').append(c.effect()));
             told.add(text.toString());
-            act.send(again, "s0", 0);
-            act.send(again, "s0", 0);
+            act.send(again, "s0", 0, Double.MAX_VALUE);
+            act.send(again, "s0", 0, Double.MAX_VALUE);
         }
 
         @Override public void replaced(double now) {
--- a/src/test/java/willowyoke/net/WarmupTest.java
+++ b/src/test/java/willowyoke/net/WarmupTest.java
@@ -23,7 +23,7 @@
                 new Class<?>[] {Gateway.Events.class}, (proxy, event, args) -> {
                     told.merge(event.getName(), 1, Integer::sum);
                     if (event.getName().equals("arrived")) {
-                        actions.send(((Gateway.Request) args[1]).id(), "s0", 0);
+                        actions.send(((Gateway.Request) args[1]).id(), "s0", 0, Double.MAX_VALUE);
                         actions.count(7, 1, 1000);
                     }
                     return null;
