Take off what clients wait by how late the loop has been

Each timer shows how late it is; that, halved every 250 ms, comes off the wait, a quarter of it at most. The test fails without it.

--- a/src/main/java/willowyoke/net/Node.java
+++ b/src/main/java/willowyoke/net/Node.java
@@ -41,6 +41,13 @@
     private static final double WAY_BACK = 10;
     /** The end of the client's wait has been told to the module; it answers by then (ms), or we do. */
     private static final double LAST_WORD = 8;
+    /**
+     * A loop that was late is soon so again: its lateness, halved in each such time (ms), is taken off what
+     * clients wait, as their requests are read and their answers written so late; a quarter at most, so that
+     * they are still tried.
+     */
+    private static final double LATE_AGAIN = 250;
+    private static final double LATE_MOST = 0.25;
     /** New connections go on coming for up to 0.4 s after SIGTERM. */
     private static final long STAY_OPEN = 450;
     private static final long LISTEN_ON = 600;
@@ -119,6 +126,8 @@
     private long held;
     private int inFlight;
     private int logged;
+    private double late;
+    private double lateAt;
     private SocketAddress address;
     private SocketAddress control;
 
@@ -315,7 +324,18 @@
     /** Runs on the loop after a delay (ms); what it throws is logged and ends there. */
     Future<?> after(double delay, Runnable what) {
         long nanos = Math.max(0, Math.round(delay * 1e6));
-        return group.schedule(() -> guarded(what), nanos, TimeUnit.NANOSECONDS);
+        double due = now() + nanos / 1e6;
+        return group.schedule(() -> {
+            double now = now();
+            late = Math.max(late(now), now - due);
+            lateAt = now;
+            guarded(what);
+        }, nanos, TimeUnit.NANOSECONDS);
+    }
+
+    /** How late this loop is by what its timers have shown (ms): 0 while it keeps up. */
+    private double late(double now) {
+        return late * Math.pow(0.5, (now - lateAt) / LATE_AGAIN);
     }
 
     /** An outcome is told after the action that led to it has returned, as on the simulator. */
@@ -390,7 +410,8 @@
         if (!(call.patience() > 0 && call.patience() <= LONGEST)) {
             return "d is out of range";
         }
-        double patience = Math.max(1, call.patience() - WAY_BACK);
+        double patience = Math.max(1,
+            call.patience() - WAY_BACK - Math.min(late(now), LATE_MOST * call.patience()));
         Request r = new Request(++lastId, slot, retained(command), call, now + patience,
             taken.settings().allowed().attempts());
         slot.request = r;
--- a/src/test/java/willowyoke/net/EndingsTest.java
+++ b/src/test/java/willowyoke/net/EndingsTest.java
@@ -341,6 +341,29 @@
         }
     }
 
+    /** A loop that was held up tells flag servers less time: it has read, and will answer, so much later. */
+    @Test void whatTheLoopIsLateIsTakenOffTheTimeTold() throws Exception {
+        start(app.address());
+        Peer.Line client = client();
+        Peer.Line server = idleConnection(client);
+        client.write(call(2, "send", 20_000));
+        assertTrue(timeTold(server.message()) > 19_500, "on time");
+        server.value("two");
+        client.message();
+        stopLoop();
+        Thread.sleep(1500); // this is what it is late
+        goOn.countDown();
+        told.clear();
+        node.after(0, () -> told.add("timers have run"));
+        expect("timers have run");
+        client.write(call(3, "send", 20_000));
+        assertTrue(timeTold(server.message()) < 19_500, "late");
+    }
+
+    private static int timeTold(List<String> command) {
+        return Integer.parseInt(command.get(3).replaceAll(".*d=", ""));
+    }
+
     /** Those behind a full pipeline are refused, each in its turn. */
     @Test void commandsBehindAFullPipelineAreRefusedInTurn() throws Exception {
         start(app.address());
