Let a SIGTERM before or while it starts to listen end it with nothing lost

The hook comes first now. Told to end before it listens, the node takes nobody and ends at once (test); from then on it drains as always.

--- a/src/main/java/willowyoke/Main.java
+++ b/src/main/java/willowyoke/Main.java
@@ -55,16 +55,18 @@
         Node node = new Node(config, Decide::new);
         // before the start: the JVM's own way is to end
         Hangup.handle(() -> node.reload(() -> Config.file(System.getenv())));
+        // before it listens too: what is taken between the two would be lost with a JVM that just ends
+        Runtime.getRuntime().addShutdownHook(new Thread(node::drain, "drain"));
         double carries = Math.min(1, FEW / config.settings().nodes());
         Warmup.run(config, Decide::new, Math.round(carries * (RUN_UNTIL - age())));
         try {
-            node.start(Math.max(READY_LEAST, READY_BY - age()));
-            System.err.println("takes clients after " + age() + " ms");
+            if (node.start(Math.max(READY_LEAST, READY_BY - age()))) {
+                System.err.println("takes clients after " + age() + " ms");
+            }
         } catch (IOException bad) {
             System.err.println("start: " + bad.getMessage());
             System.exit(1);
         }
-        Runtime.getRuntime().addShutdownHook(new Thread(node::drain, "drain"));
     }
 
     /**
--- a/src/main/java/willowyoke/net/Node.java
+++ b/src/main/java/willowyoke/net/Node.java
@@ -130,6 +130,8 @@
     private double lateAt;
     private SocketAddress address;
     private SocketAddress control;
+    private boolean listening;
+    private boolean ending;
 
     public Node(Config config, Maker maker) {
         this.config = config;
@@ -148,9 +150,9 @@
 
     /**
      * Comes up, and listens only once it is ready: a front takes in what answers. A list that is not there
-     * within so many milliseconds is not waited for.
+     * within so many milliseconds is not waited for. False where it is to end already, and takes none.
      */
-    public void start(long within) throws IOException {
+    public boolean start(long within) throws IOException {
         CompletableFuture<Void> ready = new CompletableFuture<>();
         group.execute(() -> {
             try {
@@ -177,15 +179,40 @@
             Thread.currentThread().interrupt();
             throw new IOException(e);
         }
+        if (!listening()) {
+            return false;
+        }
+        boolean bound = false;
         try {
             address = clients.bind(group, config.listen(), config.inherited());
             if (config.control() != null) {
                 int callers = Math.max(8, (int) (config.sockets() * CALLERS));
                 control = new Control(this, callers, this::call).bind(group, config.control());
             }
+            bound = true;
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
+        } finally {
+            if (!bound) {
+                nobody();
+            }
         }
+        return bound;
+    }
+
+    /** From here on an end has clients to answer; false where it is ending already. */
+    private synchronized boolean listening() {
+        listening = !ending;
+        return listening;
+    }
+
+    private synchronized void nobody() {
+        listening = false;
+    }
+
+    private synchronized boolean ending() {
+        ending = true;
+        return listening;
     }
 
     SocketAddress address() {
@@ -249,6 +276,9 @@
 
     /** SIGTERM: answers all that is taken and then ends; returns when that is done. */
     public void drain() {
+        if (!ending()) {
+            return;
+        }
         group.execute(() -> {
             if (config.inherited()) {
                 handOver();
--- a/src/test/java/willowyoke/net/EndingsTest.java
+++ b/src/test/java/willowyoke/net/EndingsTest.java
@@ -1,6 +1,8 @@
 package willowyoke.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.buffer.Unpooled;
@@ -464,4 +466,15 @@
             + entry("s2", "127.0.0.1:9", "active") + "]}");
         expect("whole s2 UP");
     }
+
+    /** Told to end before it listens, it takes nobody: there is nothing to answer, nor to wait for. */
+    @Test void anEndBeforeItListensTakesNobody() throws Exception {
+        String json = """
+            {"name":"n0","listen":"127.0.0.1:0","discovery":"%s","counter":"%s","settings":{}}"""
+            .formatted(discovery.address(), counter.address());
+        Node early = node(json);
+        early.drain();
+        assertFalse(early.start(1));
+        assertNull(early.address());
+    }
 }
