--- a/src/main/java/willowyoke/Main.java
+++ b/src/main/java/willowyoke/Main.java
@@ -13,10 +13,10 @@
 /** The command line: {@code drill} speaks the simulator's wire, {@code serve} is a real edge node. */
 public final class Main {
     /** A start is to take clients within 6 s: the code is run until then (ms), what is slow waited for. */
-    private static final long RUN_UNTIL = 3000;
+    private static final long RUN_UNTIL = 5000;
     /** So few nodes carry all that comes: in a larger fleet the code is run for the part of each. */
     private static final double FEW = 4;
-    private static final long READY_BY = 4800;
+    private static final long READY_BY = 5800;
     private static final long READY_LEAST = 500;
 
     private Main() { }
--- a/src/main/java/willowyoke/net/Warmup.java
+++ b/src/main/java/willowyoke/net/Warmup.java
@@ -19,7 +19,7 @@
  */
 public final class Warmup {
     /** Past this many calls of a method the first compiler takes it up; each round has one request. */
-    private static final int ROUNDS = 700;
+    private static final int ROUNDS = 3000;
     private static final int SERVERS = 8;
     private static final int CUSTOMERS = 16;
     private static final double STEP = 5;
