Give up an end whose client reads nothing for 10 s

A client that reads, however slowly, is still waited for (NodeTest). The bound is the one that long values have.

--- a/src/main/java/willowyoke/net/ClientListener.java
+++ b/src/main/java/willowyoke/net/ClientListener.java
@@ -299,9 +299,26 @@
                     channel.shutdownOutput();
                     channel.eventLoop().schedule(() -> channel.close(), LINGER, TimeUnit.MILLISECONDS);
                 });
+                mustRead(unread());
             }
         }
 
+        /** An end waits for what a slow client has still to read, but not for one that reads no more. */
+        private void mustRead(long before) {
+            node.after(Node.STALLED, () -> {
+                if (channel.isOpen() && unread() == before) {
+                    channel.close();
+                } else if (channel.isOpen()) {
+                    mustRead(unread());
+                }
+            });
+        }
+
+        private long unread() {
+            return channel.unsafe().outboundBuffer() == null ? 0
+                : channel.unsafe().outboundBuffer().totalPendingWriteBytes();
+        }
+
         /** Nothing that comes from here on is taken, nor decoded: some send much. */
         private void deaf() {
             deaf = true;
--- a/src/main/java/willowyoke/net/Node.java
+++ b/src/main/java/willowyoke/net/Node.java
@@ -66,8 +66,8 @@
     private static final double TIMER_AGAIN = 20;
     /** The log tells so many failures; a flood would only cost. */
     private static final int LOGGED = 200;
-    /** A long value that has not moved for this long (ms), for its server or its client, is given up. */
-    private static final double STALLED = 10_000;
+    /** A long value, or what is owed at an end, that has not moved for this long (ms) is given up. */
+    static final double STALLED = 10_000;
     /** Longest wait (ms) that a client may name: past that its request is malformed. */
     private static final double LONGEST = 3_600_000;
 
--- a/src/test/java/willowyoke/net/EndingsTest.java
+++ b/src/test/java/willowyoke/net/EndingsTest.java
@@ -475,6 +475,34 @@
         }
     }
 
+    /** A client that reads nothing any more is not waited for; here it is owed more than sockets hold. */
+    @Test void anEndDoesNotWaitForAClientThatReadsNothing() throws Exception {
+        start(app.address());
+        Peer.Line client = client();
+        StringBuilder many = new StringBuilder();
+        for (int i = 0; i < 200; i++) {
+            many.append(call(i, "send", 30_000));
+        }
+        client.write(many.toString());
+        List<Peer.Line> servers = new ArrayList<>();
+        for (int i = 0; i < 76; i++) { // as many as may be held at once: the others have no connection
+            servers.add(app.accept());
+            servers.get(i).message();
+        }
+        String value = "v".repeat(64 * 1024);
+        for (Peer.Line server : servers) {
+            server.value(value);
+        }
+        CountDownLatch ended = new CountDownLatch(1);
+        Node draining = node;
+        node = null;
+        new Thread(() -> {
+            draining.drain();
+            ended.countDown();
+        }).start();
+        assertTrue(ended.await(30, TimeUnit.SECONDS));
+    }
+
     /** Told to end before it listens, it takes nobody: there is nothing to answer, nor to wait for. */
     @Test void anEndBeforeItListensTakesNobody() throws Exception {
         String json = """
