Name the setting that is malformed, and refuse an aim or a deadline that is not positive

At the start and at SIGHUP the message said what was expected and found, but not of which key ("number expected, found 'x'"), and an aim of 0, or none, was taken: the first pace and each mean time are divided by it. Now the path stands before it, and at SIGHUP nothing of such a file is taken, as before. The test names seven places.

--- a/src/main/java/willowyoke/Main.java
+++ b/src/main/java/willowyoke/Main.java
@@ -47,7 +47,7 @@
         Config config;
         try {
             config = Config.fromEnvironment(System.getenv());
-        } catch (IllegalArgumentException | SettingsReader.Bad bad) {
+        } catch (IllegalArgumentException bad) {
             System.err.println("configuration: " + bad.getMessage());
             System.exit(2);
             return;
--- a/src/main/java/willowyoke/SettingsReader.java
+++ b/src/main/java/willowyoke/SettingsReader.java
@@ -9,7 +9,8 @@
     /** A setting that is missing or cannot be understood. */
     public static final class Bad extends RuntimeException {
         private static final long serialVersionUID = 1L;
-        final String field;
+        /** Its path in the settings. */
+        public final String field;
 
         Bad(String field, String what) {
             super(what);
@@ -40,8 +41,8 @@
                 case "zone" -> Gateway.Group.ZONE;
                 default -> Gateway.Group.CELL;
             };
-            classes.add(new Gateway.RequestClass(k.text(at + "name"), effect, group, k.num(at + "aim"),
-                k.num(at + "hard_limit"), k.num(at + "worth"), k.num(at + "late_share"),
+            classes.add(new Gateway.RequestClass(k.text(at + "name"), effect, group, k.positive(at + "aim"),
+                k.positive(at + "hard_limit"), k.num(at + "worth"), k.num(at + "late_share"),
                 k.num(at + "repeat_window"), k.flag(at + "stream")));
         }
         List<Gateway.Plan> plans = new ArrayList<>();
@@ -80,6 +81,15 @@
         return value;
     }
 
+    /** Where 0 would make no sense, nor would an absent one. */
+    private double positive(String key) {
+        double value = num(key);
+        if (!(value > 0)) {
+            throw new Bad(key, "a positive number expected, found '" + keys.get(key) + "'");
+        }
+        return value;
+    }
+
     private double num(String key) {
         return number(keys, key);
     }
--- a/src/main/java/willowyoke/net/Config.java
+++ b/src/main/java/willowyoke/net/Config.java
@@ -94,7 +94,16 @@
         }
     }
 
+    /** Throws IllegalArgumentException with the key that is missing or malformed, and why. */
     static Config of(JsonNode root, Map<String, String> env) {
+        try {
+            return read(root, env);
+        } catch (SettingsReader.Bad bad) {
+            throw new IllegalArgumentException("'settings." + bad.field + "': " + bad.getMessage(), bad);
+        }
+    }
+
+    private static Config read(JsonNode root, Map<String, String> env) {
         Map<String, String> keys = new HashMap<>();
         flatten("", root.path("settings"), keys);
         double idle = SettingsReader.number(keys, "limits.keepalive");
--- a/src/main/java/willowyoke/net/Node.java
+++ b/src/main/java/willowyoke/net/Node.java
@@ -25,7 +25,6 @@
 import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
 import willowyoke.Gateway;
-import willowyoke.SettingsReader;
 
 /**
  * One real edge node: clock, timers and the table of requests, between the sockets and the decision module.
@@ -332,7 +331,7 @@
         group.execute(() -> guarded(() -> {
             try {
                 take(taken.again(changed));
-            } catch (IllegalArgumentException | SettingsReader.Bad bad) {
+            } catch (IllegalArgumentException bad) {
                 figures.reload(false);
                 System.err.println("configuration, kept as it was: " + bad.getMessage());
             }
--- a/src/test/java/willowyoke/net/EndingsTest.java
+++ b/src/test/java/willowyoke/net/EndingsTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.buffer.Unpooled;
@@ -503,6 +504,28 @@
         assertTrue(ended.await(30, TimeUnit.SECONDS));
     }
 
+    /** What is wrong with a setting is told with its place. */
+    @Test void aMalformedSettingIsNamed() throws Exception {
+        String json = """
+            {"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:9","settings":{"tick":2,
+             "limits":{"send_cap":2},"request_classes":[{"name":"a","effect":"read_like","aim":600,
+             "hard_limit":2000}],"tariffs":[{"name":"p","per_second":8,"depth":8}]}}""";
+        String[][] broken = {{"\"aim\":600", "\"aim\":0", "settings.request_classes.0.aim"},
+            {"\"aim\":600", "\"aim\":\"soon\"", "settings.request_classes.0.aim"},
+            {"\"hard_limit\":2000", "\"hard_limit\":-1", "settings.request_classes.0.hard_limit"},
+            {"read_like", "once", "settings.request_classes.0.effect"},
+            {"\"name\":\"a\",", "", "settings.request_classes.0.name"},
+            {"\"depth\":8", "\"depth\":\"x\"", "settings.tariffs.0.depth"},
+            {"\"tick\":2", "\"tick\":[1,2]", "settings.tick"}};
+        Config good = Config.of(Config.JSON.readTree(json), Map.of());
+        assertEquals(600, good.settings().classes().get(0).aim());
+        for (String[] each : broken) {
+            IllegalArgumentException told = assertThrows(IllegalArgumentException.class,
+                () -> Config.of(Config.JSON.readTree(json.replace(each[0], each[1])), Map.of()));
+            assertTrue(told.getMessage().contains("'" + each[2] + "'"), told.getMessage());
+        }
+    }
+
     /** Told to end before it listens, it takes nobody: there is nothing to answer, nor to wait for. */
     @Test void anEndBeforeItListensTakesNobody() throws Exception {
         String json = """
