--- a/src/main/java/willowyoke/Decide.java
+++ b/src/main/java/willowyoke/Decide.java
@@ -521,7 +521,7 @@
     /** The next edge here: gateways spread theirs over the subperiod, or the counter gets all at once. */
     private double nextEdge() {
         double phase = SUBPERIOD * set.me() / set.nodes();
-        return (Math.floor((now - phase) / SUBPERIOD) + 1) * SUBPERIOD + phase;
+        return (Math.floor((now - phase) / SUBPERIOD + 1e-5) + 1) * SUBPERIOD + phase; // not now by rounding
     }
 
     private boolean alone(Customer c) {
--- a/src/main/java/willowyoke/SettingsReader.java
+++ b/src/main/java/willowyoke/SettingsReader.java
@@ -18,6 +18,9 @@
         }
     }
 
+    /** Where none is told (ms): what waits for the next one must not wait for no time at all. */
+    private static final double SHORTEST_TICK = 1;
+
     private final Map<String, String> keys;
 
     private SettingsReader(Map<String, String> keys) {
@@ -55,7 +58,8 @@
         }
         String fields = k.or("feedback.fields", "");
         return new Gateway.Settings((int) k.num("rank"), Math.max(1, (int) k.num("group_size")),
-            k.or("my_zone", ""), k.num("tick"), k.or("discovery", "pushed").equals("on_request"),
+            k.or("my_zone", ""), Math.max(SHORTEST_TICK, k.num("tick")),
+            k.or("discovery", "pushed").equals("on_request"),
             k.flag("family_info.trued_up"), Math.max(1, (int) k.num("family_info.most_units")),
             fields.isEmpty() ? List.of() : List.of(fields.split(",")), classes, plans,
             new Gateway.Allowed(k.flag("limits.probing"), k.flag("limits.cancelling"),
--- a/src/test/java/willowyoke/Bench.java
+++ b/src/test/java/willowyoke/Bench.java
@@ -11,6 +11,8 @@
     final List<double[]> timers = new ArrayList<>();
     final List<long[]> calls = new ArrayList<>();
     final List<Double> totals = new ArrayList<>();
+    /** When each request was sent on, in the order of the log. */
+    final List<Double> sentAt = new ArrayList<>();
     /** Until when the last send was worth writing. */
     double lastBy;
     Map<Long, Double> sums = new HashMap<>();
@@ -147,6 +149,7 @@
 
     @Override public void send(long id, String server, double until, double by) {
         lastBy = by;
+        sentAt.add(now);
         log.add("send " + id + " " + server);
     }
 
