--- a/src/test/java/willowyoke/Bench.java
+++ b/src/test/java/willowyoke/Bench.java
@@ -113,6 +113,12 @@
         }
     }
 
+    /** Forgets what has been done and answered. */
+    void clearLog() {
+        log.clear();
+        answered = 0;
+    }
+
     /** Advances the clock, firing the timers that fall due. */
     void to(double time) {
         while (true) {
--- a/src/test/java/willowyoke/FleetTest.java
+++ b/src/test/java/willowyoke/FleetTest.java
@@ -74,6 +74,62 @@
         assertTrue(cold > 0 && cold < 30, "to cold servers, of 40: " + cold);
     }
 
+    /**
+     * Thirty gateways, one restarted server, a lull in which each saves up what it may send there, then as
+     * much as all servers can bear: in any window the cold one gets what the rules allow of all, but for chance.
+     */
+    @Test void thirtyGatewaysKeepTheBudgetOfAColdServerTogether() {
+        int inAll = 0;
+        for (int lull : new int[] {0, 2000, 5000, 10_000}) {
+            int gateways = 30;
+            int servers = 12;
+            double restart = 30_000;
+            double perServer = 2.0 * gateways / servers; // 1/s each at half of what all can bear
+            java.util.Random random = new java.util.Random(lull);
+            List<Bench> all = new ArrayList<>();
+            for (int me = 0; me < gateways; me++) {
+                Bench b = Bench.plain();
+                b.nodes = gateways;
+                b.me = me;
+                b.seed = 31L * lull + me;
+                all.add(b.start().servers(servers));
+            }
+            List<Double> sends = new ArrayList<>();
+            long id = 0;
+            for (double t = 0; t < restart + lull + 5000; t += 10) {
+                double perSecond = t < restart ? 1 : t < restart + lull ? 0 : 2;
+                for (Bench b : all) {
+                    b.to(t);
+                    if (t == restart) {
+                        b.module.servers(t, List.of(Bench.server(0, Gateway.State.UP, t)), false);
+                    }
+                    if (random.nextDouble() < perSecond / 100) {
+                        b.arrive(++id, "read", "big", "c", 1, 1);
+                    }
+                    int before = b.log.size();
+                    b.answerSent();
+                    if (t >= restart) {
+                        for (int i = 0; i < before; i++) {
+                            if (b.log.get(i).startsWith("send ") && b.log.get(i).endsWith(" s0")) {
+                                sends.add(t);
+                            }
+                        }
+                    }
+                    b.clearLog();
+                }
+            }
+            for (double from : sends) {
+                long got = sends.stream().filter(at -> at >= from && at < from + 2000).count();
+                double warmth = Math.min(1, 0.2 + 0.8 * (from - restart) / 15_000);
+                double most = 2 * perServer * warmth * 2; // overload_factor, overload_for
+                assertTrue(got <= most + 2 * Math.sqrt(most) + 2,
+                    got + " at " + (from - restart) + " ms, " + most + " allowed, lull " + lull);
+            }
+            inAll += sends.size();
+        }
+        assertTrue(inAll > 10, "the cold server gets its part: " + inAll);
+    }
+
     /** Few requests for a while are no reason to hold back the next ones. */
     @Test void aGatewayThatWasIdleSendsItsNextRequestsOn() {
         Bench b = Bench.plain().start().servers(8);
