--- a/src/main/java/willowyoke/SettingsReader.java
+++ b/src/main/java/willowyoke/SettingsReader.java
@@ -9,7 +9,8 @@
     /** A setting that is missing or cannot be understood. */
     public static final class Bad extends RuntimeException {
         private static final long serialVersionUID = 1L;
-        final String field;
+        /** Its path in the settings. */
+        public final String field;
 
         Bad(String field, String what) {
             super(what);
@@ -17,6 +18,9 @@
         }
     }
 
+    /** Where none is told (ms): what waits for the next one must not wait for no time at all. */
+    private static final double SHORTEST_TICK = 1;
+
     private final Map<String, String> keys;
 
     private SettingsReader(Map<String, String> keys) {
@@ -40,8 +44,8 @@
                 case "zone" -> Gateway.Group.ZONE;
                 default -> Gateway.Group.CELL;
             };
-            classes.add(new Gateway.RequestClass(k.text(at + "name"), effect, group, k.num(at + "aim"),
-                k.num(at + "hard_limit"), k.num(at + "worth"), k.num(at + "late_share"),
+            classes.add(new Gateway.RequestClass(k.text(at + "name"), effect, group, k.positive(at + "aim"),
+                k.positive(at + "hard_limit"), k.num(at + "worth"), k.num(at + "late_share"),
                 k.num(at + "repeat_window"), k.flag(at + "stream")));
         }
         List<Gateway.Plan> plans = new ArrayList<>();
@@ -54,7 +58,8 @@
         }
         String fields = k.or("feedback.fields", "");
         return new Gateway.Settings((int) k.num("rank"), Math.max(1, (int) k.num("group_size")),
-            k.or("my_zone", ""), k.num("tick"), k.or("discovery", "pushed").equals("on_request"),
+            k.or("my_zone", ""), Math.max(SHORTEST_TICK, k.num("tick")),
+            k.or("discovery", "pushed").equals("on_request"),
             k.flag("family_info.trued_up"), Math.max(1, (int) k.num("family_info.most_units")),
             fields.isEmpty() ? List.of() : List.of(fields.split(",")), classes, plans,
             new Gateway.Allowed(k.flag("limits.probing"), k.flag("limits.cancelling"),
@@ -80,6 +85,15 @@
         return value;
     }
 
+    /** Where 0 would make no sense, nor would an absent one. */
+    private double positive(String key) {
+        double value = num(key);
+        if (!(value > 0)) {
+            throw new Bad(key, "a positive number expected, found '" + keys.get(key) + "'");
+        }
+        return value;
+    }
+
     private double num(String key) {
         return number(keys, key);
     }
--- a/src/test/java/willowyoke/Bench.java
+++ b/src/test/java/willowyoke/Bench.java
@@ -11,6 +11,8 @@
     final List<double[]> timers = new ArrayList<>();
     final List<long[]> calls = new ArrayList<>();
     final List<Double> totals = new ArrayList<>();
+    /** When each request was sent on, in the order of the log. */
+    final List<Double> sentAt = new ArrayList<>();
     /** Until when the last send was worth writing. */
     double lastBy;
     Map<Long, Double> sums = new HashMap<>();
@@ -111,6 +113,12 @@
         }
     }
 
+    /** Forgets what has been done and answered. */
+    void clearLog() {
+        log.clear();
+        answered = 0;
+    }
+
     /** Advances the clock, firing the timers that fall due. */
     void to(double time) {
         while (true) {
@@ -147,6 +155,7 @@
 
     @Override public void send(long id, String server, double until, double by) {
         lastBy = by;
+        sentAt.add(now);
         log.add("send " + id + " " + server);
     }
 
--- a/src/test/java/willowyoke/net/EndingsTest.java
+++ b/src/test/java/willowyoke/net/EndingsTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.buffer.Unpooled;
@@ -220,15 +221,26 @@
             return "127.0.0.1:" + door.getLocalPort();
         }
 
-        /** The first connection that is not one of those that filled it. */
-        Peer.Line accept() throws IOException {
-            door.setSoTimeout(20_000);
+        /** The first command, on whichever connection but those that filled it: they come up in no order. */
+        List<String> firstCommand() throws IOException {
+            door.setSoTimeout(20);
+            List<Peer.Line> lines = new ArrayList<>();
             while (true) {
-                Socket socket = door.accept();
-                if (!ports.contains(socket.getPort())) {
-                    return new Peer.Line(socket);
+                try {
+                    Socket socket = door.accept();
+                    if (ports.contains(socket.getPort())) {
+                        socket.close();
+                    } else {
+                        lines.add(new Peer.Line(socket));
+                    }
+                } catch (java.net.SocketTimeoutException none) {
+                    // look at those that are there
+                }
+                for (Peer.Line line : lines) {
+                    if (line.in.available() > 0) {
+                        return line.message();
+                    }
                 }
-                socket.close();
             }
         }
 
@@ -252,7 +264,7 @@
             expect("ended 1 NOT_SENT true");
             client().write(call(2, "send", 20_000));
             expect("arrived 2");
-            assertEquals("02", late.accept().message().get(2));
+            assertEquals("02", late.firstCommand().get(2));
         }
     }
 
@@ -267,7 +279,7 @@
             worth = Double.MAX_VALUE;
             client().write(call(2, "send", 20_000));
             expect("arrived 2");
-            assertEquals("02", late.accept().message().get(2));
+            assertEquals("02", late.firstCommand().get(2));
             expect("ended 1 NOT_SENT false");
             assertEquals(List.of("-ERR failed"), client.message());
         }
@@ -475,6 +487,56 @@
         }
     }
 
+    /** A client that reads nothing any more is not waited for; here it is owed more than sockets hold. */
+    @Test void anEndDoesNotWaitForAClientThatReadsNothing() throws Exception {
+        start(app.address());
+        Peer.Line client = client();
+        StringBuilder many = new StringBuilder();
+        for (int i = 0; i < 200; i++) {
+            many.append(call(i, "send", 30_000));
+        }
+        client.write(many.toString());
+        List<Peer.Line> servers = new ArrayList<>();
+        for (int i = 0; i < 76; i++) { // as many as may be held at once: the others have no connection
+            servers.add(app.accept());
+            servers.get(i).message();
+        }
+        String value = "v".repeat(64 * 1024);
+        for (Peer.Line server : servers) {
+            server.value(value);
+        }
+        CountDownLatch ended = new CountDownLatch(1);
+        Node draining = node;
+        node = null;
+        new Thread(() -> {
+            draining.drain();
+            ended.countDown();
+        }).start();
+        assertTrue(ended.await(30, TimeUnit.SECONDS));
+    }
+
+    /** What is wrong with a setting is told with its place. */
+    @Test void aMalformedSettingIsNamed() throws Exception {
+        String json = """
+            {"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:9","settings":{"tick":2,
+             "limits":{"send_cap":2},"request_classes":[{"name":"a","effect":"read_like","aim":600,
+             "hard_limit":2000}],"tariffs":[{"name":"p","per_second":8,"depth":8}]}}""";
+        String[][] broken = {{"\"aim\":600", "\"aim\":0", "settings.request_classes.0.aim"},
+            {"\"aim\":600", "\"aim\":\"soon\"", "settings.request_classes.0.aim"},
+            {"\"hard_limit\":2000", "\"hard_limit\":-1", "settings.request_classes.0.hard_limit"},
+            {"read_like", "once", "settings.request_classes.0.effect"},
+            {"\"name\":\"a\",", "", "settings.request_classes.0.name"},
+            {"\"depth\":8", "\"depth\":\"x\"", "settings.tariffs.0.depth"},
+            {"\"tick\":2", "\"tick\":[1,2]", "settings.tick"}};
+        Config good = Config.of(Config.JSON.readTree(json), Map.of());
+        assertEquals(600, good.settings().classes().get(0).aim());
+        for (String[] each : broken) {
+            IllegalArgumentException told = assertThrows(IllegalArgumentException.class,
+                () -> Config.of(Config.JSON.readTree(json.replace(each[0], each[1])), Map.of()));
+            assertTrue(told.getMessage().contains("'" + each[2] + "'"), told.getMessage());
+        }
+    }
+
     /** Told to end before it listens, it takes nobody: there is nothing to answer, nor to wait for. */
     @Test void anEndBeforeItListensTakesNobody() throws Exception {
         String json = """
