Wait at the end of a node for clients that may still be reading

At the end of a node a connection that was answered in the last 10 s now waits for the client's end, for 10 s at most (as long values do); SIGKILL may come before. Elsewhere it stays 0.2 s, as descriptors are given to others there.

--- a/src/main/java/willowyoke/net/ClientListener.java
+++ b/src/main/java/willowyoke/net/ClientListener.java
@@ -25,14 +25,13 @@
 import java.util.ArrayDeque;
 import java.util.LinkedHashSet;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 
 /** Clients' connections: commands in, answers out in the order of the commands. */
 final class ClientListener {
     /** So many commands unanswered on one connection are enough: those behind them are refused. */
     private static final int PIPELINED = 256;
     /** A client that does not close its side after ours has ended is cut off after this (ms). */
-    private static final int LINGER = 200;
+    private static final double LINGER = 200;
     private static final int MOST_WORDS = 16;
     private static final RedisMessage BUSY = new ErrorRedisMessage("BUSY");
     /** What a client has not yet read of a long answer (bytes): here, and below us. */
@@ -178,6 +177,7 @@
         private boolean spoken;
         private boolean deaf;
         private boolean finished;
+        private double wroteAt = Double.NEGATIVE_INFINITY;
 
         Connection(SocketChannel channel, Resp.Frames frames) {
             this.channel = channel;
@@ -264,6 +264,7 @@
         private void drain() {
             while (!slots.isEmpty() && (slots.peek().answer != null || passedOn(slots.peek()))) {
                 Slot slot = slots.poll();
+                wroteAt = node.now();
                 for (int i = 0; slot.answer != null && i < slot.times; i++) {
                     channel.write(slot.answer, channel.voidPromise());
                     node.flushLater(channel);
@@ -297,12 +298,21 @@
                 // behind all that is written: ending the output drops what a slow reader has still to get
                 channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(f -> {
                     channel.shutdownOutput();
-                    channel.eventLoop().schedule(() -> channel.close(), LINGER, TimeUnit.MILLISECONDS);
+                    node.after(reading() ? Node.STALLED : LINGER, channel::close);
                 });
                 mustRead(unread());
             }
         }
 
+        /**
+         * Whether the client may still be reading. At the end of the node it is not cut off while it does: a
+         * close over bytes that it sends is a reset, which takes with it what our socket still holds. Before
+         * that descriptors are dearer: those of the idle are given to others.
+         */
+        private boolean reading() {
+            return closing && node.now() - wroteAt < Node.STALLED;
+        }
+
         /** An end waits for what a slow client has still to read, but not for one that reads no more. */
         private void mustRead(long before) {
             node.after(Node.STALLED, () -> {
--- a/src/test/java/willowyoke/net/EndingsTest.java
+++ b/src/test/java/willowyoke/net/EndingsTest.java
@@ -515,6 +515,42 @@
         assertTrue(ended.await(30, TimeUnit.SECONDS));
     }
 
+    /** A close over what a client sends meanwhile is a reset: not while it reads what is still on its way. */
+    @Test void anEndWaitsForAClientThatReadsAndSends() throws Exception {
+        start(app.address());
+        Socket socket = new Socket();
+        socket.setReceiveBufferSize(4096); // the rest stays in the node's socket
+        socket.connect(node.address());
+        Peer.Line client = new Peer.Line(socket);
+        open.add(client);
+        client.write(call(1, "send", 30_000) + call(2, "send", 30_000));
+        String value = "v".repeat(64 * 1024);
+        for (int i = 0; i < 2; i++) {
+            Peer.Line server = app.accept();
+            server.message();
+            server.value(value);
+        }
+        for (int i = 0; i < 2; i++) {
+            expect("arrived " + (i + 1));
+        }
+        assertTrue(told.poll(10, TimeUnit.SECONDS).endsWith("OK true"));
+        assertTrue(told.poll(10, TimeUnit.SECONDS).endsWith("OK true"));
+        CountDownLatch ended = new CountDownLatch(1);
+        Node draining = node;
+        node = null;
+        new Thread(() -> {
+            draining.drain();
+            ended.countDown();
+        }).start();
+        assertFalse(ended.await(2, TimeUnit.SECONDS), "it waits for the client");
+        client.write(call(3, "send", 30_000));
+        assertEquals(List.of(value), client.message());
+        assertEquals(List.of(value), client.message());
+        assertTrue(client.ended());
+        client.close();
+        assertTrue(ended.await(10, TimeUnit.SECONDS));
+    }
+
     /** What is wrong with a setting is told with its place. */
     @Test void aMalformedSettingIsNamed() throws Exception {
         String json = """
