--- a/src/test/java/willowyoke/net/EndingsTest.java
+++ b/src/test/java/willowyoke/net/EndingsTest.java
@@ -177,6 +177,28 @@
         assertEquals(text, told.poll(10, TimeUnit.SECONDS));
     }
 
+    /** So many requests are known to be gone, whatever else is told between. */
+    private void expectGone(int many) throws InterruptedException {
+        int gone = 0;
+        while (gone < many) {
+            String text = told.poll(10, TimeUnit.SECONDS);
+            assertTrue(text != null, gone + " are known to be gone");
+            gone += text.startsWith("gone") ? 1 : 0;
+        }
+    }
+
+    /** Tells the node to end; done when it has. */
+    private CountDownLatch drain() {
+        CountDownLatch ended = new CountDownLatch(1);
+        Node draining = node;
+        node = null;
+        new Thread(() -> {
+            draining.drain();
+            ended.countDown();
+        }).start();
+        return ended;
+    }
+
     private void stopLoop() throws Exception {
         stopped = new CountDownLatch(1);
         goOn = new CountDownLatch(1);
@@ -347,12 +369,7 @@
             expect("arrived " + i);
         }
         client.close();
-        int gone = 0;
-        while (gone < 256) {
-            String text = told.poll(10, TimeUnit.SECONDS);
-            assertTrue(text != null, gone + " are known to be gone");
-            gone += text.startsWith("gone") ? 1 : 0;
-        }
+        expectGone(256);
     }
 
     /** A loop that was held up tells flag servers less time: it has read, and will answer, so much later. */
@@ -419,12 +436,7 @@
             expect("arrived " + i);
         }
         writing.join();
-        int gone = 0;
-        while (gone < 128) {
-            String text = told.poll(10, TimeUnit.SECONDS);
-            assertTrue(text != null, gone + " are known to be gone");
-            gone += text.startsWith("gone") ? 1 : 0;
-        }
+        expectGone(128);
     }
 
     /** What makes no sense has one answer, and is not decoded message by message: that held up others. */
@@ -505,13 +517,7 @@
         for (Peer.Line server : servers) {
             server.value(value);
         }
-        CountDownLatch ended = new CountDownLatch(1);
-        Node draining = node;
-        node = null;
-        new Thread(() -> {
-            draining.drain();
-            ended.countDown();
-        }).start();
+        CountDownLatch ended = drain();
         assertTrue(ended.await(30, TimeUnit.SECONDS));
     }
 
@@ -535,13 +541,7 @@
         }
         assertTrue(told.poll(10, TimeUnit.SECONDS).endsWith("OK true"));
         assertTrue(told.poll(10, TimeUnit.SECONDS).endsWith("OK true"));
-        CountDownLatch ended = new CountDownLatch(1);
-        Node draining = node;
-        node = null;
-        new Thread(() -> {
-            draining.drain();
-            ended.countDown();
-        }).start();
+        CountDownLatch ended = drain();
         assertFalse(ended.await(2, TimeUnit.SECONDS), "it waits for the client");
         client.write(call(3, "send", 30_000));
         assertEquals(List.of(value), client.message());
