Let a write that throws hold up no other attempt

By reading the change once more: what is to be written in the next round is scheduled where nothing was waiting yet, so an exception at one of them would have left the others there, and all that came after, until their deadlines. The rest now gets a round of its own. No test: nothing is known that throws there.

--- a/src/main/java/willowyoke/net/ServerPool.java
+++ b/src/main/java/willowyoke/net/ServerPool.java
@@ -259,21 +259,30 @@
      * whose close stood behind its request has gone by now.
      */
     private void writeReady() {
-        for (Link link = ready.poll(); link != null; link = ready.poll()) {
-            Attempt a = link.current;
-            if (a == null || a.state != State.WAITING) {
-                continue;
+        try {
+            for (Link link = ready.poll(); link != null; link = ready.poll()) {
+                writeReady(link, link.current);
             }
-            if (!link.target.up) {
-                giveUp(a, Gateway.Outcome.NO_CONNECTION); // it drains since
-            } else if (a.worthWriting(node.now())) {
-                link.write(a);
-            } else {
-                giveUp(a, Gateway.Outcome.NOT_SENT);
+        } finally {
+            if (!ready.isEmpty()) {
+                node.nextRound(this::writeReady); // one that throws holds up no other
             }
         }
     }
 
+    private void writeReady(Link link, Attempt a) {
+        if (a == null || a.state != State.WAITING) {
+            return;
+        }
+        if (!link.target.up) {
+            giveUp(a, Gateway.Outcome.NO_CONNECTION); // it drains since
+        } else if (a.worthWriting(node.now())) {
+            link.write(a);
+        } else {
+            giveUp(a, Gateway.Outcome.NOT_SENT);
+        }
+    }
+
     private void end(Attempt a, Gateway.Outcome outcome, RedisMessage value, double[] load) {
         if (a.state == State.ENDED) {
             return;
