Count violated invariants of the edge node, and trace requests on demand

Change: eight conditions are checked while the node runs (state on the event loop, one final answer, nothing sent after a request's end, allowed repeats, flushed output, counts of connections, open requests, nothing owed at the end), counted as node_invariant_violations_total on the control address and logged with the request's id; -Dwillowyoke.trace=true logs each step of a request and the reason of each close. No behaviour changes. Tests: EdgeNodeTest and RaceConditionTest now fail on any violation. acceptsClientBeforeBindReturns ran a listener on a second event loop, which the check rejects rightly: it uses the node's own loop now, and asserts as much. metricsCountAnswers lists the new lines.

--- a/src/main/java/willowyoke/Gateway.java
+++ b/src/main/java/willowyoke/Gateway.java
@@ -38,7 +38,7 @@
         CANCELLED(false), NOT_SENT(true);
 
         /** True where this outcome proves that the request was not executed. */
-        final boolean neverRan;
+        public final boolean neverRan;
 
         Outcome(boolean neverRan) {
             this.neverRan = neverRan;
--- a/src/main/java/willowyoke/net/CallCommand.java
+++ b/src/main/java/willowyoke/net/CallCommand.java
@@ -9,11 +9,11 @@
 import java.util.List;
 
 /**
- * A client's CALL.GET or CALL.POST command, parsed: the customer, the pairs of names and values that the
+ * A client's CALL.GET or CALL.POST command, parsed: the request's id, the customer, the pairs of names and values that the
  * decision module uses, and the text of the pairs before and after the value of the timeout (pair d).
  */
-record CallCommand(String customer, String requestClass, String plan, double timeoutMs, int units,
-    int customerGatewayCount, int firstGateway, boolean clientRetry, String beforeTimeout,
+record CallCommand(String requestId, String customer, String requestClass, String plan, double timeoutMs,
+    int units, int customerGatewayCount, int firstGateway, boolean clientRetry, String beforeTimeout,
     String afterTimeout) {
 
     private static final int CUSTOMER_INDEX = 1;
@@ -81,7 +81,7 @@
             || firstGateway < 0) {
             throw new IllegalArgumentException("c, t and d are needed");
         }
-        return new CallCommand(customer, requestClass, plan, timeoutMs, units, customerGatewayCount,
+        return new CallCommand(requestId, customer, requestClass, plan, timeoutMs, units, customerGatewayCount,
             firstGateway, clientRetry, pairs.substring(0, timeoutStart), pairs.substring(timeoutEnd));
     }
 
--- a/src/main/java/willowyoke/net/ClientListener.java
+++ b/src/main/java/willowyoke/net/ClientListener.java
@@ -25,6 +25,7 @@
 import java.util.ArrayDeque;
 import java.util.LinkedHashSet;
 import java.util.Set;
+import willowyoke.net.Invariants.Invariant;
 
 /**
  * Accepts clients' connections, reads commands from them and writes the answers in the order of the commands.
@@ -168,6 +169,8 @@
 
         /** Sets the answer, which is written after those before it. */
         void answer(RedisMessage message) {
+            connection.node().invariants().check(Invariant.SINGLE_ANSWER, answer == null && flowControl == null,
+                () -> "a second answer in one place");
             answer = message;
             connection.writeReadyAnswers();
         }
@@ -187,6 +190,7 @@
 
         /** Closes the connection, because the rest of a streamed answer will not come. */
         void abort() {
+            connection.traceClose("the rest of a streamed answer will not come");
             connection.channel.close();
         }
     }
@@ -206,7 +210,20 @@
             this.frameTracker = frameTracker;
         }
 
+        private EdgeNode node() {
+            return node;
+        }
+
+        /** Writes the reason for a close to the trace, where that is on. */
+        private void traceClose(String reason) {
+            if (RequestTrace.ENABLED) {
+                RequestTrace.log(node.nowMs(), "client " + channel.remoteAddress(), "closed",
+                    reason + ", " + slots.size() + " open");
+            }
+        }
+
         @Override public void channelRead(ChannelHandlerContext ctx, Object msg) {
+            node.invariants().checkEventLoop("a client's message");
             if (discardingInput) { // not accepted: the client sends it again elsewhere
                 ReferenceCountUtil.release(msg);
                 return;
@@ -321,6 +338,7 @@
          */
         private void endOutput() {
             if (!outputEnded) {
+                traceClose(closing ? "the node ends" : "idle, silent or malformed");
                 outputEnded = true;
                 discardInput();
                 // Once all is flushed: a shutdown drops output that is still queued for a slow client.
@@ -346,6 +364,7 @@
         private void closeWithoutProgress(long previousBytes) {
             node.schedule(EdgeNode.STALL_TIMEOUT_MS, () -> {
                 if (channel.isOpen() && unwrittenBytes() == previousBytes) {
+                    traceClose("the client reads nothing");
                     channel.close();
                 } else if (channel.isOpen()) {
                     closeWithoutProgress(unwrittenBytes());
@@ -416,6 +435,7 @@
             if (!(cause instanceof java.io.IOException)) {
                 node.logError("client connection", cause);
             }
+            traceClose(cause.toString());
             channel.close();
         }
     }
--- a/src/main/java/willowyoke/net/CounterClient.java
+++ b/src/main/java/willowyoke/net/CounterClient.java
@@ -240,6 +240,7 @@
             }).connect(address);
             connectAttempt = connected;
             connected.addListener(future -> {
+                node.invariants().checkEventLoop("the end of a connect to the counter");
                 connectAttempt = null;
                 if (future.isSuccess()) {
                     channel = connected.channel();
--- a/src/main/java/willowyoke/net/DiscoveryClient.java
+++ b/src/main/java/willowyoke/net/DiscoveryClient.java
@@ -167,6 +167,7 @@
      * same moment.
      */
     private void connectionEnded(Channel ended) {
+        node.invariants().checkEventLoop("the end of a connection to discovery");
         if (ended != channel) {
             return; // it was closed by a change of the addresses
         }
--- a/src/main/java/willowyoke/net/EdgeNode.java
+++ b/src/main/java/willowyoke/net/EdgeNode.java
@@ -25,6 +25,7 @@
 import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
 import willowyoke.Gateway;
+import willowyoke.net.Invariants.Invariant;
 
 /**
  * An edge node on real sockets. It owns the clock, the timers and the table of pending requests, and connects
@@ -90,6 +91,8 @@
         final ClientListener.AnswerSlot slot;
         final ArrayRedisMessage command;
         final CallCommand call;
+        /** The class as the settings had it when the request came; null for one that they don't name. */
+        final Gateway.RequestClass requestClass;
         final double deadlineMs;
         /** Total size of the command's arguments. */
         final int commandBytes;
@@ -105,8 +108,9 @@
         double lastProgressAtMs;
 
         PendingRequest(long id, ClientListener.AnswerSlot slot, ArrayRedisMessage command, CallCommand call,
-            double deadlineMs, int maxAttempts) {
+            Gateway.RequestClass requestClass, double deadlineMs, int maxAttempts) {
             this.id = id;
+            this.requestClass = requestClass;
             this.maxAttempts = maxAttempts;
             this.slot = slot;
             this.command = command;
@@ -136,6 +140,7 @@
     private final CounterClient counterClient;
     private final DiscoveryClient discoveryClient;
     private final Metrics metrics = new Metrics();
+    private final Invariants invariants = new Invariants(() -> eventLoopGroup.next().inEventLoop());
     private final DetachedServers detachedServers;
     private final CompletableFuture<Void> drained = new CompletableFuture<>();
     private Gateway.Events module;
@@ -267,7 +272,7 @@
         return switch (line) {
             case "PING" -> ControlListener.YES;
             case "INFO" -> metrics.prometheusText(inFlight, serverPool.memberCount(),
-                module.excludedServerCount(nowMs())) + "EOT";
+                module.excludedServerCount(nowMs()), invariants) + "EOT";
             default -> detachOrAttach(line);
         };
     }
@@ -378,6 +383,8 @@
 
     private void endWhenIdle() {
         if (clientListener.isIdle()) {
+            invariants.check(Invariant.NOTHING_OWED, inFlight == 0,
+                () -> inFlight + " requests without an answer at the end");
             drained.complete(null);
         } else {
             schedule(5, this::endWhenIdle);
@@ -399,6 +406,8 @@
         double dueMs = nowMs() + delayNanos / 1e6;
         return eventLoopGroup.schedule(() -> {
             double nowMs = nowMs();
+            invariants.check(Invariant.FLUSHED_OUTPUT, channelsToFlush.isEmpty(),
+                () -> channelsToFlush.size() + " connections with unflushed output");
             lastLoopDelayMs = Math.max(loopDelayMs(nowMs), nowMs - dueMs);
             lastLoopDelayAtMs = nowMs;
             runGuarded(task);
@@ -435,6 +444,7 @@
 
     /** Calls the module; an exception in it is logged and does not reach the event loop. False then. */
     private boolean notifyModule(Consumer<Gateway.Events> event) {
+        invariants.checkEventLoop("an event of the module");
         try {
             event.accept(module);
             return true;
@@ -455,11 +465,13 @@
 
     /** Has the channel flushed at the end of the current event. */
     void flushLater(Channel channel) {
+        invariants.checkEventLoop("flushLater");
         channelsToFlush.add(channel);
     }
 
     /** Flushes all channels written to since the last call. */
     void flushChannels() {
+        invariants.checkEventLoop("flushChannels");
         if (!channelsToFlush.isEmpty()) {
             Channel[] channels = channelsToFlush.toArray(new Channel[0]);
             channelsToFlush.clear();
@@ -469,6 +481,27 @@
         }
     }
 
+    /** The event loop on which all state of this node is used. */
+    EventLoopGroup eventLoopGroup() {
+        return eventLoopGroup;
+    }
+
+    /** The run-time checks of this node. */
+    Invariants invariants() {
+        return invariants;
+    }
+
+    /** Counts the requests in flight again. */
+    void checkOpenRequests() {
+        int unanswered = 0;
+        for (PendingRequest request : requests.values()) {
+            unanswered += request.finished ? 0 : 1;
+        }
+        int counted = unanswered;
+        invariants.check(Invariant.OPEN_REQUESTS, counted == inFlight,
+            () -> inFlight + " requests in flight, and " + counted + " without an answer");
+    }
+
     /** Whether the pending requests take so much memory that reading from clients should stop. */
     boolean isMemoryFull() {
         return heldBytes > MAX_HELD_BYTES;
@@ -492,8 +525,9 @@
             call.timeoutMs() - ANSWER_MARGIN_MS
                 - Math.min(loopDelayMs(nowMs), MAX_LOOP_DELAY_FRACTION * call.timeoutMs()));
         PendingRequest request = new PendingRequest(++lastId, slot, retained(command), call,
-            nowMs + timeoutMs, currentConfig.settings().allowed().maxAttempts());
+            requestClass(call.requestClass()), nowMs + timeoutMs, currentConfig.settings().allowed().maxAttempts());
         slot.request = request;
+        trace(request, "accepted", call.requestClass());
         heldBytes += request.commandBytes;
         inFlight++;
         requests.put(request.id, request);
@@ -506,6 +540,22 @@
         return null;
     }
 
+    private Gateway.RequestClass requestClass(String name) {
+        for (Gateway.RequestClass requestClass : currentConfig.settings().classes()) {
+            if (requestClass.name().equals(name)) {
+                return requestClass;
+            }
+        }
+        return null;
+    }
+
+    /** Writes a step of a request to the trace, where that is on. */
+    void trace(PendingRequest request, String event, Object detail) {
+        if (RequestTrace.ENABLED) {
+            RequestTrace.log(nowMs(), request.call.requestId(), event, detail);
+        }
+    }
+
     private static ArrayRedisMessage retained(ArrayRedisMessage command) {
         command.retain();
         return command;
@@ -537,6 +587,7 @@
     /** Cancels a request whose client has closed its connection. */
     void clientDisconnected(PendingRequest request) {
         if (!request.finished) {
+            trace(request, "client gone", "");
             finish(request);
             notifyModule(m -> m.requestCancelled(nowMs(), request.id));
             if (request.streamingAttempt != null) {
@@ -606,6 +657,7 @@
     }
 
     private void answerFailed(PendingRequest request) {
+        trace(request, "failed", "");
         metrics.countFailed(request.call.requestClass());
         answer(request, new ErrorRedisMessage("ERR failed"));
     }
@@ -615,6 +667,8 @@
      * not allow cancelling, as their servers have not begun to work.
      */
     private void finish(PendingRequest request) {
+        invariants.check(Invariant.SINGLE_ANSWER, !request.finished,
+            () -> "request " + request.call.requestId() + " ends a second time");
         request.finished = true;
         inFlight--;
         request.slot.request = null;
@@ -647,6 +701,7 @@
     void attemptEnded(ServerPool.Attempt attempt, Gateway.Outcome outcome, RedisMessage value,
         double[] load) {
         PendingRequest request = attempt.request;
+        trace(request, "attempt " + attempt.number + " ended", outcome);
         request.attemptsInFlight--;
         double nowMs = nowMs();
         if (outcome == Gateway.Outcome.OK && isUnanswered(request)) {
@@ -716,6 +771,7 @@
             writeByMs);
         request.attempts.add(attempt);
         request.attemptsInFlight++;
+        trace(request, "attempt " + attempt.number + " decided", server);
         if (request.finished || attempt.startedAtMs >= request.deadlineMs
             || attempt.number >= request.maxAttempts) {
             attempt.state = ServerPool.AttemptState.ENDED;
@@ -740,6 +796,7 @@
     @Override public void refuse(long id, double retryAfterMs) {
         PendingRequest request = requests.get(id);
         if (isUnanswered(request)) {
+            trace(request, "refused", retryAfterMs);
             metrics.countRefused(request.call.requestClass());
             answer(request,
                 new ErrorRedisMessage(retryAfterMs > 0 ? "BUSY " + Math.round(retryAfterMs) : "BUSY"));
--- a/src/main/java/willowyoke/net/Metrics.java
+++ b/src/main/java/willowyoke/net/Metrics.java
@@ -61,7 +61,7 @@
     }
 
     /** Returns all metrics in the text format of Prometheus, one line each. */
-    String prometheusText(int inFlight, int knownServers, int excludedServers) {
+    String prometheusText(int inFlight, int knownServers, int excludedServers, Invariants invariants) {
         StringBuilder text = new StringBuilder();
         countersByClass.forEach((name, counters) -> {
             String label = "{class=\"" + name.replace("\\", "\\\\").replace("\"", "\\\"") + "\"}";
@@ -75,6 +75,8 @@
         appendLine(text, "flag_servers_excluded", excludedServers);
         appendLine(text, "reloads_ok_total", reloadsOk);
         appendLine(text, "reloads_failed_total", reloadsFailed);
+        invariants.violationCounts().forEach((name, count) ->
+            appendLine(text, "invariant_violations_total{invariant=\"" + name + "\"}", count));
         return text.toString();
     }
 
--- a/src/main/java/willowyoke/net/ServerPool.java
+++ b/src/main/java/willowyoke/net/ServerPool.java
@@ -28,6 +28,7 @@
 import java.util.Map;
 import java.util.Set;
 import willowyoke.Gateway;
+import willowyoke.net.Invariants.Invariant;
 
 /**
  * The connections to the flag servers, with the attempts and probes on them. A connection carries one request
@@ -65,6 +66,10 @@
         /** The attempt is not written after this time, as the decision to send it then no longer holds. */
         final double writeByMs;
         AttemptState state = AttemptState.WAITING;
+        /** How it has ended; null before that. */
+        private Gateway.Outcome outcome;
+        /** When it was written whole; 0 before that. */
+        private double writtenAtMs;
         /** When the first bytes of a long value came; 0 for all others. */
         double firstByteAtMs;
         /** Null while the attempt waits for a connection. */
@@ -85,6 +90,11 @@
                 || !request.finished && nowMs < Math.min(writeByMs, request.deadlineMs);
         }
 
+        /** Whether its server may have run it, as far as it has got now. */
+        private boolean mayHaveRun() {
+            return writtenAtMs > 0 && (outcome == null || !outcome.neverRan);
+        }
+
         /** Whether it is not written whole yet: the server cannot have run it then. */
         boolean isUnsent() {
             return state == AttemptState.WAITING || state == AttemptState.WRITING;
@@ -210,6 +220,8 @@
 
     private void closeLongIdleConnections() {
         node.schedule(IDLE_CHECK_INTERVAL_MS, this::closeLongIdleConnections);
+        checkCounts();
+        node.checkOpenRequests();
         double idleBeforeMs = node.nowMs() - config.keepAliveMs() * IDLE_RETIREMENT_FRACTION;
         for (Endpoint endpoint : endpoints.values()) {
             while (!endpoint.idleConnections.isEmpty()
@@ -219,10 +231,25 @@
         }
     }
 
+    private void checkCounts() {
+        int counted = 0;
+        for (Endpoint endpoint : endpoints.values()) {
+            counted += endpoint.connectingCount + endpoint.connections.size();
+            node.invariants().check(Invariant.CONNECTION_COUNT, endpoint.connectingCount >= 0
+                && endpoint.waitingAttempts.size() <= endpoint.connectingCount,
+                () -> endpoint.waitingAttempts.size() + " attempts wait for " + endpoint.connectingCount
+                    + " connects to " + endpoint.address);
+        }
+        int listed = counted; // those to servers that are no longer listed count too
+        node.invariants().check(Invariant.CONNECTION_COUNT, listed <= connectionCount,
+            () -> connectionCount + " connections, of which " + listed + " are to listed servers");
+    }
+
     // ---- attempts ----
 
     /** Sends an attempt on an idle connection, the one used last, or on a new one. */
     void send(Attempt attempt) {
+        node.invariants().checkEventLoop("ServerPool.send");
         Endpoint endpoint = endpoints.get(attempt.server);
         if (endpoint == null || !endpoint.usable) {
             node.runLater(() -> endAttempt(attempt, Gateway.Outcome.NO_CONNECTION, null, NO_LOAD));
@@ -320,6 +347,7 @@
             return;
         }
         attempt.state = AttemptState.ENDED;
+        attempt.outcome = outcome;
         if (attempt.request == null) {
             node.probeEnded(attempt.server, outcome, node.nowMs() - attempt.startedAtMs, load);
         } else {
@@ -354,8 +382,12 @@
             }
         }).connect(endpoint.address);
         connected.addListener(future -> {
+            node.invariants().checkEventLoop("the end of a connect to a flag server");
             endpoint.connectingCount--;
             if (!future.isSuccess()) {
+                if (RequestTrace.ENABLED) {
+                    RequestTrace.log(node.nowMs(), "connect " + endpoint.address, "failed", future.cause());
+                }
                 connectionCount--;
                 // each waiting attempt has started a connect: with one too few left, the oldest attempt fails
                 if (endpoint.waitingAttempts.size() > endpoint.connectingCount) {
@@ -403,6 +435,7 @@
         }
 
         private void write(Attempt attempt) {
+            checkAllowed(attempt);
             attempt.state = AttemptState.WRITING;
             ArrayRedisMessage command = attempt.request == null
                 ? RespCodec.command(channel.alloc(), "INFO", "load")
@@ -411,6 +444,7 @@
             channel.write(command).addListener(future -> {
                 if (future.isSuccess() && attempt.state == AttemptState.WRITING) {
                     attempt.state = AttemptState.WRITTEN;
+                    attempt.writtenAtMs = node.nowMs();
                 }
                 if (future.isSuccess() && attempt.request != null) {
                     node.attemptWritten();
@@ -419,6 +453,31 @@
             node.flushLater(channel);
         }
 
+        private void checkAllowed(Attempt attempt) {
+            if (attempt.request == null) {
+                return;
+            }
+            double nowMs = node.nowMs();
+            node.invariants().check(Invariant.OPEN_WHEN_SENT, attempt.isWorthWriting(nowMs),
+                () -> "request " + attempt.request.call.requestId() + " is written after its end");
+            Gateway.RequestClass requestClass = attempt.request.requestClass;
+            for (Attempt earlier : attempt.request.attempts) {
+                if (requestClass != null && earlier != attempt && earlier.mayHaveRun()) {
+                    node.invariants().check(Invariant.ALLOWED_REPEAT, mayRepeat(requestClass, earlier, nowMs),
+                        () -> "request " + attempt.request.call.requestId() + " of class "
+                            + requestClass.name() + " may have run at " + earlier.server);
+                }
+            }
+        }
+
+        private boolean mayRepeat(Gateway.RequestClass requestClass, Attempt earlier, double nowMs) {
+            return switch (requestClass.effect()) {
+                case SAFE -> true;
+                case IDEMPOTENCY_KEY -> nowMs <= earlier.writtenAtMs + requestClass.repeatWindowMs();
+                case NON_IDEMPOTENT -> false;
+            };
+        }
+
         /** Takes the attempt that has waited longest, or becomes idle. */
         void release() {
             idleSinceMs = node.nowMs();
--- a/src/test/java/willowyoke/net/EdgeNodeTest.java
+++ b/src/test/java/willowyoke/net/EdgeNodeTest.java
@@ -237,6 +237,10 @@
         if (node != null && !drained) {
             node.drain();
         }
+        if (node != null) {
+            assertEquals(Set.of(0L), Set.copyOf(node.invariants().violationCounts().values()),
+                node.invariants().violationCounts().toString());
+        }
     }
 
     private Peer.Connection client() throws IOException {
@@ -778,6 +782,10 @@
         assertTrue(events.isEmpty());
     }
 
+    private static String violationLine(String invariant) {
+        return "node_invariant_violations_total{invariant=\"" + invariant + "\"} 0";
+    }
+
     @Test void metricsCountAnswers() throws Exception {
         start();
         Peer.Connection client = client();
@@ -797,7 +805,11 @@
             "node_failed_total{class=\"read\"} 0", "node_served_total{class=\"refuse\"} 0",
             "node_refused_total{class=\"refuse\"} 1", "node_failed_total{class=\"refuse\"} 0",
             "node_attempts_total 3", "node_in_flight 1", "node_flag_servers_known 1",
-            "node_flag_servers_excluded 7", "node_reloads_ok_total 0", "node_reloads_failed_total 0", "EOT"),
+            "node_flag_servers_excluded 7", "node_reloads_ok_total 0", "node_reloads_failed_total 0",
+            violationLine("event_loop"), violationLine("single_answer"), violationLine("open_when_sent"),
+            violationLine("allowed_repeat"), violationLine("flushed_output"),
+            violationLine("connection_count"), violationLine("open_requests"), violationLine("nothing_owed"),
+            "EOT"),
             controlCommand("INFO\n"));
     }
 
@@ -1038,19 +1050,15 @@
         try (ServerSocket free = new ServerSocket(0)) {
             address = new InetSocketAddress("127.0.0.1", free.getLocalPort());
         }
-        EventLoopGroup group = Transport.newEventLoopGroup();
-        try {
-            Thread.currentThread().interrupt();
-            assertThrows(InterruptedException.class,
-                () -> new ClientListener(node, 8).bind(group, address, false));
-            group.submit(() -> { }).sync(); // waits for the bind on the event loop
-            group.submit(() -> { }).sync();
-            try (Peer.Connection connection = Peer.Connection.connect(address.getPort())) {
-                connection.writeCommand("PING");
-                assertEquals(List.of("+PONG"), connection.readMessage());
-            }
-        } finally {
-            group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        EventLoopGroup group = node.eventLoopGroup();
+        Thread.currentThread().interrupt();
+        assertThrows(InterruptedException.class,
+            () -> new ClientListener(node, 8).bind(group, address, false));
+        group.submit(() -> { }).sync(); // waits for the bind on the event loop
+        group.submit(() -> { }).sync();
+        try (Peer.Connection connection = Peer.Connection.connect(address.getPort())) {
+            connection.writeCommand("PING");
+            assertEquals(List.of("+PONG"), connection.readMessage());
         }
     }
 
--- a/src/test/java/willowyoke/net/RaceConditionTest.java
+++ b/src/test/java/willowyoke/net/RaceConditionTest.java
@@ -164,6 +164,8 @@
         }
         if (node != null) {
             node.drain();
+            assertEquals(Set.of(0L), Set.copyOf(node.invariants().violationCounts().values()),
+                node.invariants().violationCounts().toString());
         }
     }
 
