--- a/fleet/lab/src/main/java/barleyfall/lab/process/EdgeProcess.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/process/EdgeProcess.java
@@ -75,9 +75,18 @@
 
     /** Starts it with a configuration; each start writes a log file of its own in the folder. */
     public void start(String config, Map<String, String> environment) throws IOException {
-        Path tmp = folder.resolve("tmp");
-        deleteTree(tmp);
-        Files.createDirectories(tmp);
+        deleteTree(temporaryFolder());
+        startWithFiles(config, environment);
+    }
+
+    /** Returns the folder that the edge node knows as TMPDIR. */
+    public Path temporaryFolder() {
+        return folder.resolve("tmp");
+    }
+
+    /** Starts it like {@link #start}, with the temporary files of the last process left in place. */
+    public void startWithFiles(String config, Map<String, String> environment) throws IOException {
+        Path tmp = Files.createDirectories(temporaryFolder());
         Files.writeString(folder.resolve("config.json"), config);
         File log = folder.resolve("log-" + ++startCount + ".txt").toFile();
         Map<String, String> processEnvironment = new HashMap<>(environment);
--- a/fleet/lab/src/test/java/barleyfall/lab/edge/EdgeFixture.java
+++ b/fleet/lab/src/test/java/barleyfall/lab/edge/EdgeFixture.java
@@ -60,15 +60,16 @@
     private final List<Socket> serverConnections = new CopyOnWriteArrayList<>();
     private final EdgeProcess edge;
     private final int serverCount;
-    private final String affectedFolder;
     private final Map<String, String> environment = new LinkedHashMap<>();
 
-    /** Creates the peers of an edge node, which is not started yet; files in the folder can fail. */
-    EdgeFixture(Path folder, int serverCount) throws IOException {
+    /**
+     * Creates the peers of an edge node, which is not started yet.
+     *
+     * @param affectedFiles a part of the path of the files that can fail
+     */
+    EdgeFixture(Path folder, int serverCount, String affectedFiles) throws IOException {
         this.serverCount = serverCount;
-        affectedFolder = folder.toAbsolutePath().toString();
-        faults = new SystemCallFaults(folder.resolve("faults"), 1,
-            affectedFolder + "/tmp/detached:" + affectedFolder + "/config.json");
+        faults = new SystemCallFaults(folder.resolve("faults"), 1, affectedFiles);
         Project project = Project.find(Path.of(""));
         edge = new EdgeProcess(0, project.root(), project.startCommand(), folder, MAX_DESCRIPTORS,
             new LabClock(), spawnThread, signals, event -> { });
@@ -177,6 +178,11 @@
         edge.start(config, environment);
     }
 
+    /** Starts the process again, with the temporary files of the one before, and does not wait for it. */
+    void launchWithFiles(String config) throws IOException {
+        edge.startWithFiles(config, environment);
+    }
+
     /** Starts the process and waits until it takes clients. */
     void start(String config) throws Exception {
         launch(config);
@@ -185,16 +191,19 @@
 
     /** Waits until the control address answers; fails where the process ends. */
     void awaitReady() throws Exception {
-        await("the edge node takes clients", () -> {
-            if (!edge.isAlive()) {
-                throw new AssertionError("the edge node has ended: " + log());
-            }
-            try {
-                return control("PING").equals(List.of("SUCCESS"));
-            } catch (IOException notYet) {
-                return false;
-            }
-        });
+        await("the edge node takes clients", this::isReady);
+    }
+
+    /** Whether the control address answers; fails where the process has ended. */
+    boolean isReady() {
+        if (!edge.isAlive()) {
+            throw new AssertionError("the edge node has ended: " + log());
+        }
+        try {
+            return control("PING").equals(List.of("SUCCESS"));
+        } catch (IOException notYet) {
+            return false;
+        }
     }
 
     /** Waits for a condition; fails where it does not come true. */
--- a/fleet/lab/src/test/java/barleyfall/lab/edge/EdgeSystemCallTest.java
+++ b/fleet/lab/src/test/java/barleyfall/lab/edge/EdgeSystemCallTest.java
@@ -8,6 +8,9 @@
 import barleyfall.lab.process.SystemCallFaults.Call;
 import barleyfall.lab.process.SystemCallFaults.Effect;
 import barleyfall.lab.process.SystemCallFaults.Rule;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -24,6 +27,7 @@
 @Timeout(120)
 class EdgeSystemCallTest {
     private static final int DEADLINE_MS = 2000;
+    private static final int SERVER_COUNT = 4;
     /** An answer that is later than the client's time by more than this is lost. */
     private static final long LATE_ANSWER_MS = 500;
 
@@ -32,7 +36,7 @@
 
     @BeforeEach void create() throws Exception {
         assumeTrue(SystemCallFaults.isAvailable(), "NOT RUN: there is no C compiler");
-        edge = new EdgeFixture(folder, 4);
+        edge = new EdgeFixture(folder, SERVER_COUNT, "/tmp/detached");
     }
 
     @AfterEach void close() throws Exception {
@@ -100,4 +104,130 @@
         }
         assertEquals(List.of(), edge.violations());
     }
+
+    /** Requests of an unsafe class run at most once, however the transfers are cut and broken off. */
+    @Test void brokenTransfersRepeatNoUnsafeRequest() throws Exception {
+        edge.start(edge.config(DEADLINE_MS));
+        List<String> faults = List.of("read SHORT 80%", "write SHORT 80%", "write ETIMEDOUT 5%",
+            "read EHOSTUNREACH 5%", "write EINTR 20%", "read EINTR 20%", "wait EINTR 20%",
+            "connect EINTR 20%", "accept EINTR 20%");
+        faults.forEach(fault -> edge.faults.begin(Rule.parse(fault)));
+        for (int id = 1000; id < 1300; id++) {
+            EdgeFixture.Client client = edge.client();
+            client.send("once", id, DEADLINE_MS);
+            String answer = client.answer();
+            assertTrue(answer.equals(EdgeFixture.valueOf(id)) || answer.startsWith("-"), answer);
+            client.socket.close();
+        }
+        faults.forEach(fault -> edge.faults.end(Rule.parse(fault)));
+        List<String> ids = edge.received.stream().map(EdgeFixture.Received::id).toList();
+        assertEquals(ids.stream().distinct().toList(), ids);
+        assertEquals(List.of(), edge.violations());
+        assertTrue(edge.faults.injectedCount(Call.WRITE, Effect.ETIMEDOUT) > 0);
+    }
+
+    /** A server that was taken out stays out while the folder that says so cannot be read. */
+    @Test void detachedServerStaysOutWhileTheFolderFails() throws Exception {
+        edge.start(edge.config(DEADLINE_MS));
+        assertEquals(List.of("SUCCESS"), edge.control("DETACH s0"));
+        for (String fault : List.of("open EIO 100%", "list EIO 100%")) {
+            Rule rule = Rule.parse(fault);
+            long before = edge.faults.injectedCount();
+            edge.faults.begin(rule);
+            EdgeFixture.await(fault, () -> edge.faults.injectedCount() >= before + 3);
+            sendRequestsThatServer0MustNotGet(10_000 + 1000 * (int) before);
+            edge.faults.end(rule);
+        }
+        Rule noUnlink = Rule.parse("unlink EIO 100%");
+        edge.faults.begin(noUnlink);
+        assertTrue(edge.control("ATTACH s0").get(0).startsWith("FAILURE"));
+        edge.faults.end(noUnlink);
+        sendRequestsThatServer0MustNotGet(30_000);
+        assertEquals(List.of("SUCCESS"), edge.control("ATTACH s0"));
+        Rule noSpace = Rule.parse("open ENOSPC 100%");
+        edge.faults.begin(noSpace);
+        assertTrue(edge.control("DETACH s1").get(0).startsWith("FAILURE"));
+        edge.faults.end(noSpace);
+        assertEquals(0, edge.metric("node_flag_servers_excluded"));
+    }
+
+    /** A process that starts while the folder fails does not use a server that was taken out before. */
+    @Test void startReadsTheDetachedServersFirst() throws Exception {
+        edge.start(edge.config(DEADLINE_MS));
+        assertEquals(List.of("SUCCESS"), edge.control("DETACH s0"));
+        edge.process().kill();
+        Rule unreadable = Rule.parse("open EIO 100%");
+        edge.faults.begin(unreadable);
+        edge.launchWithFiles(edge.config(DEADLINE_MS));
+        EdgeFixture.await("the folder was read some times, or the node takes clients",
+            () -> edge.faults.injectedCount(Call.OPEN, Effect.EIO) >= 8 || edge.isReady());
+        if (edge.isReady()) {
+            sendRequestsThatServer0MustNotGet(50_000);
+        }
+        edge.faults.end(unreadable);
+        edge.awaitReady();
+        sendRequestsThatServer0MustNotGet(60_000);
+    }
+
+    /** A file that names no server does not hide those that do. */
+    @Test void oddFileNamesHideNoDetachedServer() throws Exception {
+        edge.start(edge.config(DEADLINE_MS));
+        Path detached = Files.createDirectories(edge.process().temporaryFolder().resolve("detached"));
+        Files.createFile(detached.resolve("%zz"));
+        Files.createFile(detached.resolve("s0"));
+        EdgeFixture.await("s0 is excluded", () -> {
+            try {
+                return edge.metric("node_flag_servers_excluded") == 1;
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        });
+        sendRequestsThatServer0MustNotGet(70_000);
+    }
+
+    private void sendRequestsThatServer0MustNotGet(int firstId) throws Exception {
+        int before = edge.received.size();
+        // a node that has just started holds its pace down and refuses some
+        for (int id = firstId, served = 0; served < 40; id++) {
+            EdgeFixture.Client client = edge.client();
+            client.send("read", id, DEADLINE_MS);
+            served += client.answer().equals(EdgeFixture.valueOf(id)) ? 1 : 0;
+            client.socket.close();
+        }
+        assertTrue(edge.received.subList(before, edge.received.size()).stream()
+            .noneMatch(received -> received.server() == 0), "s0 was taken out and got a request");
+    }
+
+    /** A node whose sockets cannot be made at its start listens once they can. */
+    @Test void startOutlastsSocketsThatCannotBeMade() throws Exception {
+        Rule noSocket = Rule.parse("socket ENFILE 100%");
+        edge.faults.begin(noSocket);
+        edge.launch(edge.config(DEADLINE_MS));
+        EdgeFixture.await("the node fails to listen", () -> edge.log().contains("cannot listen")
+            || edge.log().contains("Exception in thread") || !edge.process().isAlive());
+        edge.faults.end(noSocket);
+        edge.awaitReady();
+        EdgeFixture.Client client = edge.client();
+        client.send("read", 1, DEADLINE_MS);
+        assertEquals(EdgeFixture.valueOf(1), client.answer());
+    }
+
+    /** A configuration that cannot be read in the moment of SIGHUP takes effect once it can. */
+    @Test void reloadOutlastsFileThatCannotBeRead() throws Exception {
+        edge.close();
+        edge = new EdgeFixture(folder, SERVER_COUNT, "config.json");
+        edge.start(edge.config(DEADLINE_MS));
+        Rule unreadable = Rule.parse("open EIO 100%");
+        edge.faults.begin(unreadable);
+        edge.reload(edge.config(DEADLINE_MS + 1));
+        EdgeFixture.await("a read failed", () -> edge.faults.injectedCount(Call.OPEN, Effect.EIO) > 0);
+        edge.faults.end(unreadable);
+        EdgeFixture.await("the file is taken", () -> {
+            try {
+                return edge.metric("node_reloads_ok_total") == 1;
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        });
+    }
 }
