Report every end of a connect on the event loop

Cause: for a socket that cannot be made (ENFILE, EMFILE, ENOBUFS) Netty's Bootstrap returns a future of GlobalEventExecutor, and the listeners of ServerPool, DiscoveryClient and CounterClient ran there. They polled the queue of waiting attempts, changed the counts of connects, called the module and emptied the set of channels to flush while the event loop used all of them; a channel that the loop added in that moment is never flushed. Evidence: EdgeSystemCallTest#socketsThatCannotBeMadeAreHandledOnTheEventLoop, red before (2 violations of event_loop for one failed socket). Why it works: Connector is the only place that connects, and it hands each failure to the event loop. Result: that test passes, as do RaceConditionTest, EdgeNodeTest and DiscoveryClientTest.

--- a/src/main/java/willowyoke/net/CounterClient.java
+++ b/src/main/java/willowyoke/net/CounterClient.java
@@ -1,14 +1,9 @@
 package willowyoke.net;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.redis.ErrorRedisMessage;
 import io.netty.handler.codec.redis.RedisMessage;
 import io.netty.handler.codec.redis.SimpleStringRedisMessage;
@@ -53,7 +48,7 @@
 
     private final EdgeNode node;
     private final double timeoutMs;
-    private final Bootstrap bootstrap;
+    private final Connector connector;
     private final Connection[] connections = new Connection[CONNECTION_COUNT];
     /** Calls in the order in which they were made, from the oldest whose outcome is not reported yet. */
     private final ArrayDeque<PendingCall> unreported = new ArrayDeque<>();
@@ -83,8 +78,7 @@
         this.node = node;
         this.address = address;
         this.timeoutMs = timeoutMs;
-        bootstrap = new Bootstrap().group(group).channel(Transport.socketChannelClass())
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) DEAD_CONNECTION_MS / 2);
+        connector = new Connector(group, (int) DEAD_CONNECTION_MS / 2);
         if (address == null) {
             ready.complete(null);
         }
@@ -218,7 +212,8 @@
         private final ArrayDeque<PendingCall> pendingCalls = new ArrayDeque<>();
         /** Null while the connection is not open. */
         private Channel channel;
-        private ChannelFuture connectAttempt;
+        /** The connect under way, or null. */
+        private Connector.Connect connectAttempt;
         private double openedAtMs;
         private double lastUsedAtMs;
 
@@ -227,35 +222,34 @@
             if (channel != null) {
                 channel.close();
             } else if (connectAttempt != null) {
-                connectAttempt.channel().close();
+                connectAttempt.cancel();
             }
         }
 
         void connect() {
-            ChannelFuture connected = bootstrap.clone().handler(new ChannelInitializer<SocketChannel>() {
-                @Override protected void initChannel(SocketChannel channel) {
-                    channel.pipeline().addLast(new AnswerHandler(
-                        RespCodec.addTo(channel.pipeline(), MAX_ARRAY_ELEMENTS, MAX_ANSWER_BYTES)));
-                }
-            }).connect(address);
-            connectAttempt = connected;
-            connected.addListener(future -> {
-                node.invariants().checkEventLoop("the end of a connect to the counter");
-                connectAttempt = null;
-                if (future.isSuccess()) {
-                    channel = connected.channel();
-                    openedAtMs = node.nowMs();
-                    lastUsedAtMs = openedAtMs;
-                    for (Connection connection : connections) {
-                        if (connection.channel == null) {
-                            return;
-                        }
-                    }
-                    ready.complete(null);
-                } else {
-                    node.schedule(RECONNECT_DELAY_MS, this::connect);
+            connectAttempt = connector.connect(address,
+                newChannel -> newChannel.pipeline().addLast(new AnswerHandler(
+                    RespCodec.addTo(newChannel.pipeline(), MAX_ARRAY_ELEMENTS, MAX_ANSWER_BYTES))),
+                this::connected, cause -> connectFailed());
+        }
+
+        private void connected(Channel newChannel) {
+            connectAttempt = null;
+            channel = newChannel;
+            openedAtMs = node.nowMs();
+            lastUsedAtMs = openedAtMs;
+            for (Connection connection : connections) {
+                if (connection.channel == null) {
+                    return;
                 }
-            });
+            }
+            ready.complete(null);
+        }
+
+        private void connectFailed() {
+            node.invariants().checkEventLoop("the end of a connect to the counter");
+            connectAttempt = null;
+            node.schedule(RECONNECT_DELAY_MS, this::connect);
         }
 
         /** Sends a command; its answer is the one that follows those of the calls already pending. */
--- a/src/main/java/willowyoke/net/DiscoveryClient.java
+++ b/src/main/java/willowyoke/net/DiscoveryClient.java
@@ -5,16 +5,11 @@
 import com.fasterxml.jackson.core.json.async.NonBlockingJsonParser;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.util.TokenBuffer;
-import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
@@ -64,14 +59,16 @@
     record Member(Gateway.Server server, InetSocketAddress address) { }
 
     private final EdgeNode node;
-    private final Bootstrap bootstrap;
+    private final Connector connector;
     private final Random random;
     private final CompletableFuture<Void> ready = new CompletableFuture<>();
     private List<InetSocketAddress> addresses;
     private int addressIndex;
     /** How many replicas in a row have said that their list is stale. */
     private int staleReplicasInRow;
-    /** The only connection, from the start of its connect; null while the next attempt is awaited. */
+    /** The only connect, or the connection that it has led to; null while the next one is awaited. */
+    private Connector.Connect connect;
+    /** The connection, or null while there is none. */
     private Channel channel;
     private Future<?> scheduledConnect;
     private long version = -1;
@@ -87,8 +84,7 @@
         this.addresses = addresses;
         random = new Random(seed);
         addressIndex = random.nextInt(addresses.size());
-        bootstrap = new Bootstrap().group(group).channel(Transport.socketChannelClass())
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS);
+        connector = new Connector(group, CONNECT_TIMEOUT_MS);
     }
 
     /** Completes when discovery itself, rather than the configuration, has given a list. */
@@ -122,55 +118,61 @@
         if (scheduledConnect != null) {
             scheduledConnect.cancel(false);
         }
-        Channel previous = channel;
+        Connector.Connect previous = connect;
+        connect = null;
         channel = null;
         if (previous != null) {
-            previous.close();
+            previous.cancel();
         }
         connect();
     }
 
     /** Connects, unless there is a connection or one is already scheduled. */
     void ensureWatching() {
-        if (channel == null && scheduledConnect == null) {
+        if (connect == null && scheduledConnect == null) {
             connect();
         }
     }
 
     private void checkWatch() {
         node.schedule(CHECK_INTERVAL_MS, this::checkWatch);
-        if (channel != null && channel.isActive()
-            && node.nowMs() - lastHeardAtMs > WATCH_SILENCE_TIMEOUT_MS) {
+        if (channel != null && node.nowMs() - lastHeardAtMs > WATCH_SILENCE_TIMEOUT_MS) {
             channel.close();
         }
     }
 
     private void connect() {
-        if (channel != null) {
+        scheduledConnect = null;
+        if (connect != null) {
             return;
         }
-        ChannelFuture connected = bootstrap.clone().handler(new ChannelInitializer<SocketChannel>() {
-            @Override protected void initChannel(SocketChannel channel) {
-                channel.pipeline().addLast(new HttpClientCodec(), new ResponseHandler());
-            }
-        }).connect(addresses.get(addressIndex));
-        channel = connected.channel();
-        connected.addListener(future -> {
-            if (!future.isSuccess()) {
-                connectionEnded(connected.channel());
-            }
-        });
+        ConnectionOwner owner = new ConnectionOwner();
+        owner.connect = connector.connect(addresses.get(addressIndex),
+            newChannel -> newChannel.pipeline().addLast(new HttpClientCodec(), new ResponseHandler(owner)),
+            newChannel -> { }, cause -> connectionEnded(owner));
+        connect = owner.connect;
+    }
+
+    /** Links a connection to the connect that it came from, which tells whether it is still in use. */
+    private final class ConnectionOwner {
+        private Connector.Connect connect;
+
+        /** False once the addresses have changed: what still comes is ignored. */
+        private boolean isCurrent() {
+            return connect == DiscoveryClient.this.connect;
+        }
     }
 
     /**
      * Schedules a connect to the next address. The delay is random, or all edge nodes would reconnect at the
      * same moment.
      */
-    private void connectionEnded(Channel ended) {
+    private void connectionEnded(ConnectionOwner owner) {
         node.invariants().checkEventLoop("the end of a connection to discovery");
-        if (ended != channel) {
+        if (!owner.isCurrent()) {
             return; // it was closed by a change of the addresses
         }
+        connect = null;
         channel = null;
         addressIndex = (addressIndex + 1) % addresses.size();
         scheduledConnect = node.schedule(backoffMs * (0.5 + random.nextDouble()), this::connect);
@@ -237,12 +239,22 @@
         private final NonBlockingJsonParser parser = newParser();
         private TokenBuffer value = new TokenBuffer(Config.JSON, false);
         private int valueBytes;
+        private final ConnectionOwner owner;
         /** Whether the request was for a watch, rather than for the complete list. */
         private boolean watching;
         private boolean statusOk;
 
+        ResponseHandler(ConnectionOwner owner) {
+            this.owner = owner;
+        }
+
         @Override public void channelActive(ChannelHandlerContext ctx) {
-            sendRequest(ctx);
+            if (owner.isCurrent()) {
+                channel = ctx.channel();
+                sendRequest(ctx);
+            } else {
+                ctx.close();
+            }
         }
 
         private void sendRequest(ChannelHandlerContext ctx) {
@@ -256,7 +268,7 @@
         }
 
         @Override protected void channelRead0(ChannelHandlerContext ctx, HttpObject msg) throws IOException {
-            if (ctx.channel() != channel) {
+            if (!owner.isCurrent()) {
                 return; // from an address that is no longer used
             }
             lastHeardAtMs = node.nowMs();
@@ -318,7 +330,7 @@
         }
 
         @Override public void channelInactive(ChannelHandlerContext ctx) {
-            connectionEnded(ctx.channel());
+            connectionEnded(owner);
         }
 
         @Override public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
--- a/src/main/java/willowyoke/net/ServerPool.java
+++ b/src/main/java/willowyoke/net/ServerPool.java
@@ -1,15 +1,11 @@
 package willowyoke.net;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.CodecException;
 import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.redis.ArrayRedisMessage;
@@ -120,7 +116,7 @@
     }
 
     private final EdgeNode node;
-    private final Bootstrap bootstrap;
+    private final Connector connector;
     private final Config config;
     private final int maxConnections;
     private final Map<String, Endpoint> endpoints = new HashMap<>();
@@ -135,8 +131,7 @@
         this.node = node;
         this.config = config;
         this.maxConnections = maxConnections;
-        bootstrap = new Bootstrap().group(group).channel(Transport.socketChannelClass())
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) config.connectTimeoutMs())
+        connector = new Connector(group, (int) config.connectTimeoutMs())
             .option(ChannelOption.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
             .option(ChannelOption.RECVBUF_ALLOCATOR,
                 new AdaptiveRecvByteBufAllocator(512, 2048, MAX_READ_BYTES));
@@ -373,37 +368,39 @@
         ServerConnection connection = new ServerConnection(endpoint);
         endpoint.connectingCount++;
         connectionCount++;
-        ChannelFuture connected = bootstrap.clone().handler(new ChannelInitializer<SocketChannel>() {
-            @Override protected void initChannel(SocketChannel channel) {
-                connection.channel = channel;
-                connection.frames = RespCodec.addTo(channel.pipeline(), MAX_ARRAY_ELEMENTS,
-                    RespCodec.MAX_VALUE_BYTES, connection);
-                channel.pipeline().addLast(connection);
-            }
-        }).connect(endpoint.address);
-        connected.addListener(future -> {
-            node.invariants().checkEventLoop("the end of a connect to a flag server");
-            endpoint.connectingCount--;
-            if (!future.isSuccess()) {
-                if (RequestTrace.ENABLED) {
-                    RequestTrace.log(node.nowMs(), "connect " + endpoint.address, "failed", future.cause());
-                }
-                connectionCount--;
-                // each waiting attempt has started a connect: with one too few left, the oldest attempt fails
-                if (endpoint.waitingAttempts.size() > endpoint.connectingCount) {
-                    Attempt attempt = endpoint.waitingAttempts.poll();
-                    // later, as without a free file descriptor the connect fails while send still runs
-                    node.runLater(() -> endAttempt(attempt, Gateway.Outcome.NO_CONNECTION, null, NO_LOAD));
-                }
-            } else if (!endpoint.usable) {
-                endpoint.connections.add(connection);
-                connection.channel.close();
-            } else {
-                endpoint.connections.add(connection);
-                connection.release();
-            }
-            node.flushChannels();
-        });
+        connector.connect(endpoint.address, channel -> {
+            connection.channel = channel;
+            connection.frames = RespCodec.addTo(channel.pipeline(), MAX_ARRAY_ELEMENTS,
+                RespCodec.MAX_VALUE_BYTES, connection);
+            channel.pipeline().addLast(connection);
+        }, channel -> connected(connection), cause -> connectFailed(endpoint, cause));
+    }
+
+    private void connected(ServerConnection connection) {
+        node.invariants().checkEventLoop("the end of a connect to a flag server");
+        Endpoint endpoint = connection.endpoint;
+        endpoint.connectingCount--;
+        endpoint.connections.add(connection);
+        if (endpoint.usable) {
+            connection.release();
+        } else {
+            connection.channel.close();
+        }
+        node.flushChannels();
+    }
+
+    private void connectFailed(Endpoint endpoint, Throwable cause) {
+        node.invariants().checkEventLoop("the end of a connect to a flag server");
+        if (RequestTrace.ENABLED) {
+            RequestTrace.log(node.nowMs(), "connect " + endpoint.address, "failed", cause);
+        }
+        endpoint.connectingCount--;
+        connectionCount--;
+        // each waiting attempt has started a connect: with one too few left, the oldest attempt fails
+        if (endpoint.waitingAttempts.size() > endpoint.connectingCount) {
+            endAttempt(endpoint.waitingAttempts.poll(), Gateway.Outcome.NO_CONNECTION, null, NO_LOAD);
+        }
+        node.flushChannels();
     }
 
     /** A connection to a server, with at most one attempt on it. */
