--- a/src/main/java/willowyoke/net/ClientListener.java
+++ b/src/main/java/willowyoke/net/ClientListener.java
@@ -2,7 +2,6 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -10,7 +9,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.WriteBufferWaterMark;
-import io.netty.channel.socket.ServerSocketChannel;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.redis.ArrayRedisMessage;
 import io.netty.handler.codec.redis.BulkStringHeaderRedisMessage;
@@ -49,7 +47,7 @@
     private final int maxConnections;
     /** Open connections, the least recently used first. */
     private final Set<Connection> connections = new LinkedHashSet<>();
-    private Channel listenerChannel;
+    private final AcceptControl acceptControl;
     /** The node ends: each connection is closed as soon as it has no unanswered commands. */
     private boolean closing;
 
@@ -57,6 +55,7 @@
     ClientListener(EdgeNode node, int maxConnections) {
         this.node = node;
         this.maxConnections = maxConnections;
+        acceptControl = new AcceptControl(node);
     }
 
     /** Listens on an address, or on the inherited socket; throws where that is not possible. */
@@ -64,12 +63,7 @@
         throws IOException, InterruptedException {
         ServerBootstrap bootstrap = new ServerBootstrap().group(group)
             .option(ChannelOption.SO_BACKLOG, 1024).option(ChannelOption.SO_REUSEADDR, true)
-            .handler(new ChannelInitializer<ServerSocketChannel>() {
-                @Override protected void initChannel(ServerSocketChannel channel) {
-                    // Set on the event loop, because a client may connect before bind has returned.
-                    listenerChannel = channel;
-                }
-            })
+            .handler(acceptControl)
             .childOption(ChannelOption.SO_SNDBUF, SEND_BUFFER_BYTES)
             .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WRITE_BUFFER_LIMITS)
             .childHandler(new ChannelInitializer<SocketChannel>() {
@@ -100,7 +94,7 @@
                 }
             }
         }
-        listenerChannel.config().setAutoRead(connections.size() < maxIncludingClosing(maxConnections));
+        acceptControl.setFull(connections.size() >= maxIncludingClosing(maxConnections));
     }
 
     /** The limit on open connections, with those that are being closed to make room: a close takes time. */
@@ -130,7 +124,7 @@
 
     /** Stops accepting connections. */
     void unbind() {
-        listenerChannel.close();
+        acceptControl.close();
     }
 
     /** Whether no connection is open. */
--- a/src/main/java/willowyoke/net/ControlListener.java
+++ b/src/main/java/willowyoke/net/ControlListener.java
@@ -48,6 +48,7 @@
     /** Listens on an address and returns the one that was bound. */
     SocketAddress bind(EventLoopGroup group, SocketAddress address) throws InterruptedException {
         return new ServerBootstrap().group(group).channel(Transport.serverSocketChannelClass())
+            .handler(new AcceptControl(node))
             .childHandler(new ChannelInitializer<SocketChannel>() {
                 @Override protected void initChannel(SocketChannel channel) {
                     connectionOpened(channel);
--- a/src/main/java/willowyoke/net/EdgeNode.java
+++ b/src/main/java/willowyoke/net/EdgeNode.java
@@ -481,6 +481,11 @@
         }
     }
 
+    /** Counts a system call that failed for a reason of this machine. */
+    void countLocalFailure(String call) {
+        metrics.countLocalFailure(call);
+    }
+
     /** The event loop on which all state of this node is used. */
     EventLoopGroup eventLoopGroup() {
         return eventLoopGroup;
--- a/src/main/java/willowyoke/net/Metrics.java
+++ b/src/main/java/willowyoke/net/Metrics.java
@@ -20,6 +20,8 @@
     private long attempts;
     private long reloadsOk;
     private long reloadsFailed;
+    /** System calls that failed for a reason of this machine, by the name of the call. */
+    private final Map<String, Long> localFailures = new TreeMap<>();
 
     /** Adds the request classes of new settings; classes that were removed keep their counters. */
     void addClasses(List<Gateway.RequestClass> classes) {
@@ -60,6 +62,11 @@
         }
     }
 
+    /** Counts a system call that failed for a reason of this machine. */
+    void countLocalFailure(String call) {
+        localFailures.merge(call, 1L, Long::sum);
+    }
+
     /** Returns all metrics in the text format of Prometheus, one line each. */
     String prometheusText(int inFlight, int knownServers, int excludedServers, Invariants invariants) {
         StringBuilder text = new StringBuilder();
@@ -75,6 +82,8 @@
         appendLine(text, "flag_servers_excluded", excludedServers);
         appendLine(text, "reloads_ok_total", reloadsOk);
         appendLine(text, "reloads_failed_total", reloadsFailed);
+        localFailures.forEach((call, count) ->
+            appendLine(text, "local_failures_total{call=\"" + call + "\"}", count));
         invariants.violationCounts().forEach((name, count) ->
             appendLine(text, "invariant_violations_total{invariant=\"" + name + "\"}", count));
         return text.toString();
