Connect again after a failure of this machine instead of blaming the server

Callers saw: requests refused or failed within milliseconds while servers were well, and afterwards too few servers in use. Cause: a connect or socket call that fails here (EADDRNOTAVAIL, ENETUNREACH, ENOBUFS, ENFILE) ended the attempt as NO_CONNECTION, as if the server had refused. The module then used up the request's attempts, ejected servers that were never asked, and took the next answer of each for that of a cold server. Why it works: ServerPool connects again every 10 ms until the connect timeout, while an attempt waits; what still fails ends as NOT_SENT, which tells nothing of the server. Attempts stay bounded by their own times, which are checked when they are written. Discovery tries the same replica again after 50 ms. Refusals, resets and timeouts count as before.

--- a/src/main/java/willowyoke/net/Connector.java
+++ b/src/main/java/willowyoke/net/Connector.java
@@ -2,12 +2,17 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
 import java.net.InetSocketAddress;
+import java.net.NoRouteToHostException;
+import java.util.List;
+import java.util.Locale;
 import java.util.function.Consumer;
 
 /**
@@ -16,6 +21,9 @@
  * beside the event loop.
  */
 final class Connector {
+    /** The texts of ECONNREFUSED, ECONNRESET and ETIMEDOUT, in lower case: Netty tells no error numbers. */
+    private static final List<String> REMOTE_REASONS = List.of("refused", "reset", "timed out");
+
     private final EventLoopGroup eventLoopGroup;
     private final Bootstrap bootstrap;
 
@@ -32,6 +40,21 @@
         return this;
     }
 
+    /**
+     * Whether a connect failed for a reason of this machine (no descriptor, buffer, port or route), which
+     * tells nothing of the other side. A refusal, a reset and a timeout come from there.
+     */
+    static boolean isLocalFailure(Throwable cause) {
+        if (cause instanceof ConnectTimeoutException) {
+            return false;
+        }
+        if (cause instanceof ChannelException || cause instanceof NoRouteToHostException) {
+            return true;
+        }
+        String message = String.valueOf(cause.getMessage()).toLowerCase(Locale.ROOT);
+        return REMOTE_REASONS.stream().noneMatch(message::contains);
+    }
+
     /** A connect that is under way or over. */
     static final class Connect {
         private final ChannelFuture future;
--- a/src/main/java/willowyoke/net/CounterClient.java
+++ b/src/main/java/willowyoke/net/CounterClient.java
@@ -230,7 +230,7 @@
             connectAttempt = connector.connect(address,
                 newChannel -> newChannel.pipeline().addLast(new AnswerHandler(
                     RespCodec.addTo(newChannel.pipeline(), MAX_ARRAY_ELEMENTS, MAX_ANSWER_BYTES))),
-                this::connected, cause -> connectFailed());
+                this::connected, this::connectFailed);
         }
 
         private void connected(Channel newChannel) {
@@ -246,8 +246,11 @@
             ready.complete(null);
         }
 
-        private void connectFailed() {
+        private void connectFailed(Throwable cause) {
             node.invariants().checkEventLoop("the end of a connect to the counter");
+            if (Connector.isLocalFailure(cause)) {
+                node.countLocalFailure("connect");
+            }
             connectAttempt = null;
             node.schedule(RECONNECT_DELAY_MS, this::connect);
         }
--- a/src/main/java/willowyoke/net/DiscoveryClient.java
+++ b/src/main/java/willowyoke/net/DiscoveryClient.java
@@ -46,6 +46,8 @@
     private static final double WATCH_SILENCE_TIMEOUT_MS = 3000;
     private static final double CHECK_INTERVAL_MS = 250;
     private static final int CONNECT_TIMEOUT_MS = 1000;
+    /** How long after a connect that failed on this machine the next one is made. */
+    private static final double LOCAL_RETRY_DELAY_MS = 50;
     private static final double MIN_BACKOFF_MS = 200;
     /**
      * What a replica has to tell counts as told the moment that it is back, and a drain has to take effect
@@ -149,10 +151,21 @@
         ConnectionOwner owner = new ConnectionOwner();
         owner.connect = connector.connect(addresses.get(addressIndex),
             newChannel -> newChannel.pipeline().addLast(new HttpClientCodec(), new ResponseHandler(owner)),
-            newChannel -> { }, cause -> connectionEnded(owner));
+            newChannel -> { }, cause -> connectFailed(owner, cause));
         connect = owner.connect;
     }
 
+    /** A failure of this machine tells nothing of the replica, so the same one is tried again soon. */
+    private void connectFailed(ConnectionOwner owner, Throwable cause) {
+        if (owner.isCurrent() && Connector.isLocalFailure(cause)) {
+            node.countLocalFailure("connect");
+            connect = null;
+            scheduledConnect = node.schedule(LOCAL_RETRY_DELAY_MS, this::connect);
+        } else {
+            connectionEnded(owner);
+        }
+    }
+
     /** Links a connection to the connect that it came from, which tells whether it is still in use. */
     private final class ConnectionOwner {
         private Connector.Connect connect;
--- a/src/main/java/willowyoke/net/ServerPool.java
+++ b/src/main/java/willowyoke/net/ServerPool.java
@@ -40,6 +40,8 @@
      */
     private static final double IDLE_RETIREMENT_FRACTION = 0.4;
     private static final double IDLE_CHECK_INTERVAL_MS = 500;
+    /** How long after a connect that failed on this machine the next one is made. */
+    private static final double LOCAL_RETRY_DELAY_MS = 10;
     private static final double PROBE_TIMEOUT_MS = 250;
     private static final int MAX_ARRAY_ELEMENTS = 16;
     /** With the socket's buffer, bounds what is read ahead of a long value while its client reads slowly. */
@@ -365,15 +367,25 @@
 
     /** Opens a connection, which then takes the attempt that has waited longest. */
     private void connect(Endpoint endpoint) {
-        ServerConnection connection = new ServerConnection(endpoint);
         endpoint.connectingCount++;
         connectionCount++;
+        connect(endpoint, node.nowMs() + config.connectTimeoutMs());
+    }
+
+    /** Connects again after failures of this machine, until the connect counts as failed. */
+    private void connect(Endpoint endpoint, double giveUpAtMs) {
+        if (endpoint.waitingAttempts.isEmpty()) { // they have ended since the last failure
+            endpoint.connectingCount--;
+            connectionCount--;
+            return;
+        }
+        ServerConnection connection = new ServerConnection(endpoint);
         connector.connect(endpoint.address, channel -> {
             connection.channel = channel;
             connection.frames = RespCodec.addTo(channel.pipeline(), MAX_ARRAY_ELEMENTS,
                 RespCodec.MAX_VALUE_BYTES, connection);
             channel.pipeline().addLast(connection);
-        }, channel -> connected(connection), cause -> connectFailed(endpoint, cause));
+        }, channel -> connected(connection), cause -> connectFailed(endpoint, cause, giveUpAtMs));
     }
 
     private void connected(ServerConnection connection) {
@@ -389,16 +401,26 @@
         node.flushChannels();
     }
 
-    private void connectFailed(Endpoint endpoint, Throwable cause) {
+    private void connectFailed(Endpoint endpoint, Throwable cause, double giveUpAtMs) {
         node.invariants().checkEventLoop("the end of a connect to a flag server");
         if (RequestTrace.ENABLED) {
             RequestTrace.log(node.nowMs(), "connect " + endpoint.address, "failed", cause);
         }
+        boolean local = Connector.isLocalFailure(cause);
+        if (local) {
+            node.countLocalFailure("connect");
+        }
+        if (local && !endpoint.waitingAttempts.isEmpty()
+            && node.nowMs() + LOCAL_RETRY_DELAY_MS < giveUpAtMs) {
+            node.schedule(LOCAL_RETRY_DELAY_MS, () -> connect(endpoint, giveUpAtMs));
+            return;
+        }
         endpoint.connectingCount--;
         connectionCount--;
         // each waiting attempt has started a connect: with one too few left, the oldest attempt fails
         if (endpoint.waitingAttempts.size() > endpoint.connectingCount) {
-            endAttempt(endpoint.waitingAttempts.poll(), Gateway.Outcome.NO_CONNECTION, null, NO_LOAD);
+            endAttempt(endpoint.waitingAttempts.poll(),
+                local ? Gateway.Outcome.NOT_SENT : Gateway.Outcome.NO_CONNECTION, null, NO_LOAD);
         }
         node.flushChannels();
     }
