Bind again when the listening socket cannot be made at the start

Callers saw: an edge node that lived and never listened, for as long as it ran. Cause: a bind that failed with a ChannelException (ENFILE, ENOBUFS in socket) ended the main thread while the event loop kept the process alive; an IOException ended the process, with clients connected where only the second address had failed. Evidence: EdgeSystemCallTest#startOutlastsSocketsThatCannotBeMade, red before (no client taken within 30 s). Why it works: each bind is tried again every 20 ms for 20 s, inside the 30 s that a start may take; after that, and after any other exception, the process ends with 1. A SIGTERM in that time ends the attempts, and a bind still under way is closed. Result: the test passes.

--- a/src/main/java/willowyoke/Main.java
+++ b/src/main/java/willowyoke/Main.java
@@ -68,9 +68,9 @@
             if (node.start(Math.max(MIN_READY_WAIT_MS, READY_DEADLINE_MS - processAgeMs()))) {
                 System.err.println("takes clients after " + processAgeMs() + " ms");
             }
-        } catch (IOException e) {
-            System.err.println("start: " + e.getMessage());
-            System.exit(1);
+        } catch (IOException | RuntimeException e) {
+            System.err.println("start: " + e);
+            System.exit(1); // a process that lives and does not listen would serve nobody
         }
     }
 
--- a/src/main/java/willowyoke/net/AcceptControl.java
+++ b/src/main/java/willowyoke/net/AcceptControl.java
@@ -14,7 +14,6 @@
     private static final double RETRY_DELAY_MS = 2;
 
     private final EdgeNode node;
-    /** Null until the channel is registered. */
     private Channel listener;
     /** No connection is wanted, as there are as many as there may be. */
     private boolean full;
@@ -40,11 +39,9 @@
         return failed;
     }
 
-    /** Closes the listening socket; does nothing where there is none yet. */
+    /** Closes the listening socket. */
     void close() {
-        if (listener != null) {
-            listener.close();
-        }
+        listener.close();
     }
 
     @Override public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
--- a/src/main/java/willowyoke/net/ClientListener.java
+++ b/src/main/java/willowyoke/net/ClientListener.java
@@ -9,6 +9,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.socket.ServerSocketChannel;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.redis.ArrayRedisMessage;
 import io.netty.handler.codec.redis.BulkStringHeaderRedisMessage;
@@ -47,15 +48,17 @@
     private final int maxConnections;
     /** Open connections, the least recently used first. */
     private final Set<Connection> connections = new LinkedHashSet<>();
-    private final AcceptControl acceptControl;
+    /** Null until the listening channel is registered. */
+    private AcceptControl acceptControl;
     /** The node ends: each connection is closed as soon as it has no unanswered commands. */
     private boolean closing;
+    /** No connection is accepted any more; a bind that is still under way ends. */
+    private boolean unbound;
 
     /** Closes idle connections when there are more than maxConnections. */
     ClientListener(EdgeNode node, int maxConnections) {
         this.node = node;
         this.maxConnections = maxConnections;
-        acceptControl = new AcceptControl(node);
     }
 
     /** Listens on an address, or on the inherited socket; throws where that is not possible. */
@@ -63,7 +66,16 @@
         throws IOException, InterruptedException {
         ServerBootstrap bootstrap = new ServerBootstrap().group(group)
             .option(ChannelOption.SO_BACKLOG, 1024).option(ChannelOption.SO_REUSEADDR, true)
-            .handler(acceptControl)
+            .handler(new ChannelInitializer<ServerSocketChannel>() {
+                @Override protected void initChannel(ServerSocketChannel channel) {
+                    // set on the event loop, because a client may connect before bind has returned
+                    acceptControl = new AcceptControl(node);
+                    channel.pipeline().addLast(acceptControl);
+                    if (unbound) {
+                        channel.close();
+                    }
+                }
+            })
             .childOption(ChannelOption.SO_SNDBUF, SEND_BUFFER_BYTES)
             .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WRITE_BUFFER_LIMITS)
             .childHandler(new ChannelInitializer<SocketChannel>() {
@@ -124,7 +136,10 @@
 
     /** Stops accepting connections. */
     void unbind() {
-        acceptControl.close();
+        unbound = true;
+        if (acceptControl != null) {
+            acceptControl.close();
+        }
     }
 
     /** Whether no connection is open. */
--- a/src/main/java/willowyoke/net/EdgeNode.java
+++ b/src/main/java/willowyoke/net/EdgeNode.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.MissingNode;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
 import io.netty.channel.EventLoopGroup;
 import io.netty.handler.codec.redis.ArrayRedisMessage;
 import io.netty.handler.codec.redis.BulkStringHeaderRedisMessage;
@@ -76,6 +77,9 @@
     private static final int MAX_LOGGED_ERRORS = 200;
     /** A streamed value, or output left at a connection's end, is given up without progress for this long. */
     static final double STALL_TIMEOUT_MS = 10_000;
+    /** How long after a failed bind the next one is tried, and for how long in all. */
+    private static final long BIND_RETRY_DELAY_MS = 20;
+    private static final long BIND_RETRY_TIME_MS = 20_000;
     /** The longest timeout that a client may give; a request with a longer one is malformed. */
     private static final double MAX_CLIENT_TIMEOUT_MS = 3_600_000;
 
@@ -213,14 +217,7 @@
         }
         boolean bound = false;
         try {
-            listenAddress = clientListener.bind(eventLoopGroup, initialConfig.listenAddress(),
-                initialConfig.inheritsListener());
-            if (initialConfig.controlAddress() != null) {
-                int maxConnections = maxControlConnections(initialConfig.maxSockets());
-                controlAddress = new ControlListener(this, maxConnections, this::answerCommand)
-                    .bind(eventLoopGroup, initialConfig.controlAddress());
-            }
-            bound = true;
+            bound = bindAll();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         } finally {
@@ -231,6 +228,44 @@
         return bound;
     }
 
+    /** Listens for clients, then for operators; false where the node has been told to end meanwhile. */
+    private boolean bindAll() throws IOException, InterruptedException {
+        listenAddress = bindWithRetries(() -> clientListener.bind(eventLoopGroup,
+            initialConfig.listenAddress(), initialConfig.inheritsListener()));
+        if (listenAddress != null && initialConfig.controlAddress() != null) {
+            int maxConnections = maxControlConnections(initialConfig.maxSockets());
+            controlAddress = bindWithRetries(() ->
+                new ControlListener(this, maxConnections, this::answerCommand)
+                    .bind(eventLoopGroup, initialConfig.controlAddress()));
+        }
+        return listenAddress != null;
+    }
+
+    /** Binds a socket. */
+    private interface Binding {
+        SocketAddress bind() throws IOException, InterruptedException;
+    }
+
+    /**
+     * Binds a socket; where that fails, tries again for a while, as the reason may be over in a moment. Null
+     * where the node has been told to end.
+     */
+    private SocketAddress bindWithRetries(Binding binding) throws IOException, InterruptedException {
+        long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(BIND_RETRY_TIME_MS);
+        while (!isEnding()) {
+            try {
+                return binding.bind();
+            } catch (IOException | ChannelException e) {
+                if (System.nanoTime() > endNanos) {
+                    throw new IOException("cannot listen: " + e.getMessage(), e);
+                }
+                logError("cannot listen, trying again", e);
+                Thread.sleep(BIND_RETRY_DELAY_MS);
+            }
+        }
+        return null;
+    }
+
     private static int maxControlConnections(int maxSockets) {
         return Math.max(8, (int) (maxSockets * CONTROL_SOCKET_FRACTION));
     }
@@ -251,6 +286,10 @@
         listening = false;
     }
 
+    private synchronized boolean isEnding() {
+        return ending;
+    }
+
     /** Notes that the node ends; true when it listens and has to be drained first. */
     private synchronized boolean beginEnding() {
         ending = true;
