Take clients only once the detached servers have been read

Callers saw: requests at a flag server that an operator had taken out, right after a restart. Cause: a new process read the shared folder once before it listened and then five times a second; where the first reads failed (EIO) it listened and used every server. Evidence: EdgeSystemCallTest#startReadsTheDetachedServersFirst, red before. Why it works: readiness waits for the first whole read, within the time that it waits for discovery and the counter; past that it says so in its log and goes on. Result: the test passes.

--- a/src/main/java/willowyoke/net/EdgeNode.java
+++ b/src/main/java/willowyoke/net/EdgeNode.java
@@ -146,6 +146,8 @@
     private final Metrics metrics = new Metrics();
     private final Invariants invariants = new Invariants(() -> eventLoopGroup.next().inEventLoop());
     private final DetachedServers detachedServers;
+    /** Completes when the servers that the process before has detached are known. */
+    private final CompletableFuture<Void> detachedServersKnown = new CompletableFuture<>();
     private final CompletableFuture<Void> drained = new CompletableFuture<>();
     private Gateway.Events module;
     private long lastId;
@@ -181,8 +183,9 @@
     // ---- start, drain and reload ----
 
     /**
-     * Starts the node. It listens only once discovery and the counter are ready, because a load balancer
-     * sends clients to any node that accepts connections; after readyTimeoutMs it listens with what it has.
+     * Starts the node. It listens only once discovery, the counter and the servers out by hand are known,
+     * because a load balancer sends clients to any node that accepts connections; after readyTimeoutMs it
+     * listens with what it has.
      * Returns false, without listening, when the node has already been told to end.
      */
     public boolean start(long readyTimeoutMs) throws IOException {
@@ -198,14 +201,15 @@
             discoveryClient.start(initialConfig.initialMembers());
             counterClient.start();
             serverPool.start();
-            CompletableFuture.allOf(discoveryClient.ready(), counterClient.ready())
+            CompletableFuture.allOf(discoveryClient.ready(), counterClient.ready(), detachedServersKnown)
                 .thenRun(() -> ready.complete(null));
         });
         try {
             ready.get(readyTimeoutMs, TimeUnit.MILLISECONDS);
         } catch (TimeoutException e) {
             System.err.println("ready with what there is: discovery " + discoveryClient.ready().isDone()
-                + ", counter " + counterClient.ready().isDone());
+                + ", counter " + counterClient.ready().isDone()
+                + ", servers out by hand " + detachedServersKnown.isDone());
         } catch (java.util.concurrent.ExecutionException e) {
             throw new IOException(e);
         } catch (InterruptedException e) {
@@ -347,6 +351,7 @@
             if (detachedServers.refresh()) {
                 announceDetachedServers();
             }
+            detachedServersKnown.complete(null);
         } catch (IOException e) {
             logError("servers out by hand", e);
         }
