Read the configuration file again when it cannot be read for a moment

Callers saw: drains ignored and quotas kept apart after a SIGHUP: the node stayed with the old discovery and counter, which close 1.5 s later. Cause: an I/O error while the file was read counted as a broken file, and the signal was over. Why it works: an error of reading is tried again every 20 ms for 2 s, well inside the 4 s after which what discovery tells counts; a file that is read and holds no JSON is refused at once as before. The same holds at the start.

--- a/src/main/java/willowyoke/net/Config.java
+++ b/src/main/java/willowyoke/net/Config.java
@@ -1,5 +1,6 @@
 package willowyoke.net;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -14,6 +15,8 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.StringJoiner;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import willowyoke.Gateway;
 import willowyoke.SettingsReader;
 
@@ -45,6 +48,9 @@
         new ObjectMapper().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
     /** Keys that are used at the start only, so that a file that is reloaded may leave them out. */
     private static final Set<String> START_ONLY_KEYS = Set.of("known", "seed");
+    /** How long after a failed read of the file the next one is tried, and for how long in all. */
+    private static final long READ_RETRY_DELAY_MS = 20;
+    private static final long READ_RETRY_TIME_MS = 2000;
     private static final double DEFAULT_KEEP_ALIVE_MS = 15_000;
     private static final double DEFAULT_CONNECT_TIMEOUT_MS = 250;
     private static final int DEFAULT_MAX_SOCKETS = 1024;
@@ -54,13 +60,28 @@
         return of(readFile(env), env);
     }
 
-    /** Reads the file that EDGE_CONFIG names, as it is now. */
+    /**
+     * Reads the file that EDGE_CONFIG names, as it is now. Tries again for a while where it cannot be read;
+     * throws at once where it holds no JSON.
+     */
     public static JsonNode readFile(Map<String, String> env) throws IOException {
         String file = env.get("EDGE_CONFIG");
         if (file == null || file.isEmpty()) {
             throw new IllegalArgumentException("EDGE_CONFIG is not set");
         }
-        return JSON.readTree(new File(file));
+        long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READ_RETRY_TIME_MS);
+        while (true) {
+            try {
+                return JSON.readTree(new File(file));
+            } catch (JsonProcessingException e) {
+                throw e;
+            } catch (IOException e) {
+                if (System.nanoTime() > endNanos) {
+                    throw e;
+                }
+                LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(READ_RETRY_DELAY_MS));
+            }
+        }
     }
 
     /**
