--- a/fleet/lab/src/test/java/barleyfall/lab/edge/EdgeSystemCallTest.java
+++ b/fleet/lab/src/test/java/barleyfall/lab/edge/EdgeSystemCallTest.java
@@ -230,4 +230,31 @@
             }
         });
     }
+
+    /** A request that waits in the queue while accept fails is answered, though the node is to end. */
+    @Test void drainAcceptsWhatWaitsBehindFailedAccepts() throws Exception {
+        edge.start(edge.config(DEADLINE_MS));
+        Rule noAccept = Rule.parse("accept ENFILE 100%");
+        edge.faults.begin(noAccept);
+        EdgeFixture.Client client = edge.client();
+        client.send("read", 1, DEADLINE_MS);
+        EdgeFixture.await("an accept failed", () -> edge.faults.injectedCount(Call.ACCEPT, Effect.ENFILE) > 0);
+        edge.process().term();
+        // far more than the 0.6 s in which the node listens on
+        EdgeFixture.await("accept went on failing, or the node has ended",
+            () -> edge.faults.injectedCount(Call.ACCEPT, Effect.ENFILE) > 500 || !edge.process().isAlive());
+        edge.faults.end(noAccept);
+        String answer = client.answer();
+        assertTrue(answer.startsWith("-BUSY") || answer.equals(EdgeFixture.valueOf(1)), answer);
+        EdgeFixture.await("the node has ended", () -> !edge.process().isAlive());
+    }
+
+    /** A node that is told to end while it cannot listen ends. */
+    @Test void termEndsNodeThatCannotListen() throws Exception {
+        edge.faults.begin(Rule.parse("socket ENFILE 100%"));
+        edge.launch(edge.config(DEADLINE_MS));
+        EdgeFixture.await("the node fails to listen", () -> edge.log().contains("cannot listen"));
+        edge.process().term();
+        EdgeFixture.await("the node has ended", () -> !edge.process().isAlive());
+    }
 }
--- a/src/test/java/willowyoke/net/EdgeNodeTest.java
+++ b/src/test/java/willowyoke/net/EdgeNodeTest.java
@@ -863,6 +863,25 @@
         expectEvent("settings 2 read SAFE refuse SAFE");
     }
 
+    /** Of two signals in a row the file of the later one is in force, whichever thread reads faster. */
+    @Test void reloadsTakeEffectInTheOrderOfTheirSignals() throws Exception {
+        start();
+        String older = configJson.replace("\"send_cap\":2", "\"send_cap\":3");
+        String newer = configJson.replace("\"send_cap\":2", "\"send_cap\":4");
+        Thread second = new Thread(() -> reload(newer));
+        node.reload(() -> {
+            second.start();
+            while (second.getState() != Thread.State.BLOCKED
+                && second.getState() != Thread.State.TERMINATED) {
+                Thread.onSpinWait();
+            }
+            return Config.JSON.readTree(older);
+        });
+        second.join();
+        expectEvent("settings 3 read SAFE refuse SAFE");
+        expectEvent("settings 4 read SAFE refuse SAFE");
+    }
+
     /** The client gets the first bytes before the server sends the rest, and the last after its timeout. */
     @Test void streamsLargeValue() throws Exception {
         start();
--- a/src/test/java/willowyoke/net/RaceConditionTest.java
+++ b/src/test/java/willowyoke/net/RaceConditionTest.java
@@ -449,6 +449,78 @@
         expectCancelled(128);
     }
 
+    /** The same for a client whose end is a reset, with the requests still unread behind it. */
+    @Test void resetIsSeenWhileMemoryIsFull() throws Exception {
+        start(flagServer.address());
+        Peer.Connection client = client();
+        String body = "$65536\r\n" + "x".repeat(65_536) + "\r\n";
+        Thread writing = new Thread(() -> {
+            try {
+                for (int i = 0; i < 250; i++) { // 16 MB, of which 8 are accepted
+                    client.write(callCommand(i, "hold", 60_000).replace("*4", "*5").replace("GET", "PUT")
+                        .replace("$8\r\nCALL.PUT", "$9\r\nCALL.POST") + body);
+                }
+                client.socket.setSoLinger(true, 0);
+                client.close();
+            } catch (IOException e) {
+                events.add("writing: " + e);
+            }
+        });
+        writing.start();
+        for (int i = 1; i <= 128; i++) {
+            expectEvent("arrived " + i);
+        }
+        writing.join();
+        expectCancelled(128);
+    }
+
+    /** A client that reads no answers is not read from; its reset ends its requests all the same. */
+    @Test void resetOfClientThatReadsNothingIsSeen() throws Exception {
+        start(flagServer.address());
+        Peer.Connection client = client();
+        int answered = 8; // more than the socket buffers hold
+        for (int i = 1; i <= answered; i++) {
+            client.write(callCommand(i, "send", 60_000));
+        }
+        client.write(callCommand(9, "hold", 60_000));
+        List<Peer.Connection> servers = new ArrayList<>();
+        for (int i = 0; i < answered; i++) {
+            servers.add(flagServer.accept());
+            servers.get(i).readMessage();
+        }
+        String value = "v".repeat(64 * 1024);
+        for (Peer.Connection server : servers) {
+            server.writeValue(value);
+        }
+        client.socket.setSoLinger(true, 0);
+        client.close();
+        expectCancelled(1);
+    }
+
+    /** A client that always has a request open holds up no drain; each request that is read is answered. */
+    @Test void drainEndsConnectionThatIsNeverIdle() throws Exception {
+        start(flagServer.address());
+        Peer.Connection client = client();
+        client.write(callCommand(1, "hold", 700));
+        expectEvent("arrived 1");
+        CountDownLatch ended = drain();
+        int sent = 1;
+        int read = 0;
+        boolean open = true;
+        while (open && sent < 40) { // at the pace of the answers, with one request always outstanding
+            try {
+                client.write(callCommand(sent + 1, "hold", 700));
+                sent++;
+                client.readMessage();
+                read++;
+            } catch (IOException closed) {
+                open = false;
+            }
+        }
+        assertFalse(open, "after " + read + " answers during the drain the connection is still served");
+        assertTrue(ended.await(10, TimeUnit.SECONDS));
+    }
+
     /** Malformed input gets one answer and is then dropped: decoding the rest blocked the event loop. */
     @Test void inputBehindMalformedInputIsNotDecoded() {
         int[] failures = new int[1];
