Apply reloads in the order of their signals

Callers saw: after two SIGHUPs in a row the node followed the discovery and the settings of the first one. Cause: the JDK runs each signal's handler on a thread of its own; a slow read of the older file was handed to the event loop after the newer one, as the last word. Evidence: EdgeNodeTest#reloadsTakeEffectInTheOrderOfTheirSignals forces that order, red before. Why it works: reading and handing over are one step under a lock, so a file that is read later also takes effect later.

--- a/src/main/java/willowyoke/net/EdgeNode.java
+++ b/src/main/java/willowyoke/net/EdgeNode.java
@@ -146,6 +146,7 @@
     private final Metrics metrics = new Metrics();
     private final Invariants invariants = new Invariants(() -> eventLoopGroup.next().inEventLoop());
     private final DetachedServers detachedServers;
+    private final Object reloadLock = new Object();
     /** Completes when the servers that the process before has detached are known. */
     private final CompletableFuture<Void> detachedServersKnown = new CompletableFuture<>();
     private final CompletableFuture<Void> drained = new CompletableFuture<>();
@@ -395,17 +396,23 @@
     /**
      * Handles SIGHUP: applies the settings and the addresses of discovery and the counter from the
      * configuration file; the rest cannot change. A file that is incomplete or malformed is rejected as a
-     * whole. It is read in the calling thread, because another file may soon replace it.
+     * whole. It is read in the calling thread, because another file may soon replace it. Each signal has a
+     * thread of its own, so one file is read and handed over after the other.
      */
     public void reload(ConfigReader reader) {
-        JsonNode json;
-        try {
-            json = reader.read();
-        } catch (IOException e) {
-            logError("configuration", e);
-            json = MissingNode.getInstance();
+        synchronized (reloadLock) {
+            JsonNode json;
+            try {
+                json = reader.read();
+            } catch (IOException e) {
+                logError("configuration", e);
+                json = MissingNode.getInstance();
+            }
+            scheduleReload(json);
         }
-        JsonNode changed = json;
+    }
+
+    private void scheduleReload(JsonNode changed) {
         eventLoopGroup.execute(() -> runGuarded(() -> {
             try {
                 applyConfig(currentConfig.reloaded(changed));
