Refuse requests that come on open connections later than 0.6 s after SIGTERM

Cause: a drain ended a connection only when it had no unanswered command, so a client that always had one open was served on until SIGKILL found its last requests unanswered. SIGKILL may come the longest deadline plus 0.7 s after SIGTERM, so what is taken after that 0.7 s cannot count on its time. Why it works: 0.6 s after SIGTERM, when the listening socket closes, requests get -BUSY in their turn, each connection ends once nothing is open on it, and one that came late and is silent ends at once instead of after 2.3 s. No request is read and dropped. The test closes its client at the end now, as the drain waits 10 s for one that may still read.

--- a/src/main/java/willowyoke/net/ClientListener.java
+++ b/src/main/java/willowyoke/net/ClientListener.java
@@ -35,7 +35,7 @@
     /** How long the client has to close a connection after the node has shut down its output. */
     private static final double LINGER_MS = 200;
     private static final int MAX_COMMAND_PARTS = 16;
-    private static final RedisMessage BUSY_ANSWER = new ErrorRedisMessage("BUSY");
+    static final RedisMessage BUSY_ANSWER = new ErrorRedisMessage("BUSY");
     /** Bounds, in bytes, of the output of a slow client that is kept in this process. */
     private static final WriteBufferWaterMark WRITE_BUFFER_LIMITS =
         new WriteBufferWaterMark(16 * 1024, 32 * 1024);
@@ -52,6 +52,8 @@
     private AcceptControl acceptControl;
     /** The node ends: each connection is closed as soon as it has no unanswered commands. */
     private boolean closing;
+    /** Further requests are refused: the time until the process may be killed is for those that are open. */
+    private boolean refusing;
     /** No connection is accepted any more; a bind that is still under way ends. */
     private boolean unbound;
 
@@ -134,6 +136,15 @@
         }
     }
 
+    /**
+     * Refuses all requests from here on, and closes each connection once it has no unanswered commands. A
+     * client may send on an open connection until the process is killed.
+     */
+    void refuseFurtherRequests() {
+        refusing = true;
+        closeIdleConnections();
+    }
+
     /** Stops accepting connections. */
     void unbind() {
         unbound = true;
@@ -277,7 +288,7 @@
         private void handleCommand(AnswerSlot slot, ArrayRedisMessage command) {
             String name = RespCodec.text(command.children().get(0));
             if ("CALL.GET".equals(name) || "CALL.POST".equals(name)) {
-                String error = node.acceptRequest(slot, command);
+                String error = refusing ? node.refuseRequest(slot, command) : node.acceptRequest(slot, command);
                 if (error != null) {
                     slot.answer(new ErrorRedisMessage("ERR " + error));
                 }
--- a/src/main/java/willowyoke/net/EdgeNode.java
+++ b/src/main/java/willowyoke/net/EdgeNode.java
@@ -375,6 +375,7 @@
             } else {
                 schedule(KEEP_CONNECTIONS_MS, clientListener::closeIdleConnections);
                 schedule(KEEP_LISTENING_MS, () -> {
+                    clientListener.refuseFurtherRequests();
                     clientListener.unbind();
                     endWhenIdle();
                 });
@@ -390,7 +391,10 @@
         clientListener.unbind();
         clientListener.closeAfterNextAnswer();
         schedule(KEEP_CONNECTIONS_MS, clientListener::closeIdleConnections);
-        schedule(KEEP_LISTENING_MS, this::endWhenIdle);
+        schedule(KEEP_LISTENING_MS, () -> {
+            clientListener.refuseFurtherRequests();
+            endWhenIdle();
+        });
     }
 
     /**
@@ -596,6 +600,17 @@
         return null;
     }
 
+    /** Refuses a request unheard; returns what is wrong with a malformed one, else null. */
+    String refuseRequest(ClientListener.AnswerSlot slot, ArrayRedisMessage command) {
+        try {
+            metrics.countRefused(CallCommand.parse(command).requestClass());
+        } catch (IllegalArgumentException e) {
+            return e.getMessage();
+        }
+        slot.answer(ClientListener.BUSY_ANSWER);
+        return null;
+    }
+
     private Gateway.RequestClass requestClass(String name) {
         for (Gateway.RequestClass requestClass : currentConfig.settings().classes()) {
             if (requestClass.name().equals(name)) {
--- a/src/test/java/willowyoke/net/RaceConditionTest.java
+++ b/src/test/java/willowyoke/net/RaceConditionTest.java
@@ -518,6 +518,7 @@
             }
         }
         assertFalse(open, "after " + read + " answers during the drain the connection is still served");
+        client.close();
         assertTrue(ended.await(10, TimeUnit.SECONDS));
     }
 
