Close the listening socket in a drain only once accept works

Cause: a drain closes the listening socket 0.6 s after SIGTERM, which resets what still waits in its queue; where accept had just failed, requests waited there. Evidence: EdgeSystemCallTest#drainAcceptsWhatWaitsBehindFailedAccepts, red before (connection reset). Why it works: the close waits until the accepts after a failure have had their time; what comes in so late is refused, which is a final answer. Result: that test, failedAcceptDelaysNoOtherClient and termEndsNodeThatCannotListen pass.

--- a/src/main/java/willowyoke/net/AcceptControl.java
+++ b/src/main/java/willowyoke/net/AcceptControl.java
@@ -19,6 +19,8 @@
     private boolean full;
     /** The last accept failed, and the next one is not due yet. */
     private boolean failed;
+    /** From a failure until the accepts after it have had their time. */
+    private boolean retrying;
 
     AcceptControl(EdgeNode node) {
         this.node = node;
@@ -34,9 +36,9 @@
         update();
     }
 
-    /** Whether the last accept failed, so that connections may wait in the queue. */
+    /** Whether accept failed a moment ago, so that connections may wait in the queue. */
     boolean hasFailed() {
-        return failed;
+        return retrying;
     }
 
     /** Closes the listening socket. */
@@ -48,11 +50,13 @@
         node.countLocalFailure("accept");
         if (!failed) {
             failed = true;
+            retrying = true;
             update();
             // the socket is edge-triggered: only switching off and on again shows what is queued already
             node.schedule(RETRY_DELAY_MS, () -> {
                 failed = false;
                 update();
+                node.schedule(RETRY_DELAY_MS, () -> retrying = failed);
             });
         }
     }
--- a/src/main/java/willowyoke/net/ClientListener.java
+++ b/src/main/java/willowyoke/net/ClientListener.java
@@ -145,6 +145,11 @@
         closeIdleConnections();
     }
 
+    /** Whether connections may wait that could not be accepted just now. */
+    boolean isAcceptFailing() {
+        return acceptControl != null && acceptControl.hasFailed();
+    }
+
     /** Stops accepting connections. */
     void unbind() {
         unbound = true;
--- a/src/main/java/willowyoke/net/EdgeNode.java
+++ b/src/main/java/willowyoke/net/EdgeNode.java
@@ -56,6 +56,7 @@
     private static final long KEEP_CONNECTIONS_MS = 450;
     /** The listening socket is kept open, or the process alive, for at least this long after SIGTERM. */
     private static final long KEEP_LISTENING_MS = 600;
+    private static final double END_CHECK_INTERVAL_MS = 5;
     /**
      * Shares of the configured number of file descriptors. The remainder is for files and the event loop, 27
      * without any connection, and for the connections to the counter and to discovery, which must still fit
@@ -376,8 +377,7 @@
                 schedule(KEEP_CONNECTIONS_MS, clientListener::closeIdleConnections);
                 schedule(KEEP_LISTENING_MS, () -> {
                     clientListener.refuseFurtherRequests();
-                    clientListener.unbind();
-                    endWhenIdle();
+                    unbindAndEnd();
                 });
             }
         });
@@ -385,6 +385,16 @@
         eventLoopGroup.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).awaitUninterruptibly(500);
     }
 
+    /** Closes the listening socket once accept works, as its close resets what waits in the queue. */
+    private void unbindAndEnd() {
+        if (clientListener.isAcceptFailing()) {
+            schedule(END_CHECK_INTERVAL_MS, this::unbindAndEnd);
+        } else {
+            clientListener.unbind();
+            endWhenIdle();
+        }
+    }
+
     /** Leaves the clients to another process, which shares the listening socket and its backlog. */
     private void handOver() {
         notifyModule(m -> m.handoverStarted(nowMs()));
@@ -442,7 +452,7 @@
                 () -> inFlight + " requests without an answer at the end");
             drained.complete(null);
         } else {
-            schedule(5, this::endWhenIdle);
+            schedule(END_CHECK_INTERVAL_MS, this::endWhenIdle);
         }
     }
 
