Show ages of servers that follow steps of the wall clock, as a failing test

After a step back of an hour a server that has just started is taken for one that has been warm for an hour; after a step forward for one from the future, which stays cold for an hour. The node takes its wall clock as a parameter now, for the test.

--- a/src/main/java/willowyoke/net/EdgeNode.java
+++ b/src/main/java/willowyoke/net/EdgeNode.java
@@ -25,6 +25,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import willowyoke.Gateway;
 import willowyoke.net.Invariants.Invariant;
 
@@ -136,7 +137,7 @@
     private final ModuleFactory moduleFactory;
     private final EventLoopGroup eventLoopGroup = Transport.newEventLoopGroup();
     private final long startNanos = System.nanoTime();
-    private final double startUnixMs = System.currentTimeMillis();
+    private final double startUnixMs;
     private final LongObjectHashMap<PendingRequest> requests = new LongObjectHashMap<>();
     /** Channels written to since the last flush. */
     private final Set<Channel> channelsToFlush = new LinkedHashSet<>();
@@ -168,6 +169,12 @@
 
     /** Creates a node that does nothing until it is started. */
     public EdgeNode(Config config, ModuleFactory moduleFactory) {
+        this(config, moduleFactory, System::currentTimeMillis);
+    }
+
+    /** Creates a node with a wall clock, in ms of Unix time, that may step at any time. */
+    EdgeNode(Config config, ModuleFactory moduleFactory, LongSupplier wallClockMs) {
+        startUnixMs = wallClockMs.getAsLong();
         initialConfig = config;
         currentConfig = config;
         this.moduleFactory = moduleFactory;
--- a/src/test/java/willowyoke/net/EdgeNodeTest.java
+++ b/src/test/java/willowyoke/net/EdgeNodeTest.java
@@ -39,6 +39,8 @@
         @Override public void serverListUpdated(double nowMs, List<Gateway.Server> list, boolean complete) {
             StringBuilder text = new StringBuilder(complete ? "complete" : "changes");
             list.forEach(s -> text.append(' ').append(s.id()).append(' ').append(s.state()));
+            lastListAtMs = nowMs;
+            lastList = list;
             events.add(text.toString());
         }
 
@@ -152,6 +154,11 @@
     private int counterTimeoutMs = 1000; // long enough for a slow machine
     private volatile int timerFailures;
     private long retriedRequestId;
+    /** The last list of servers that the module was given, and its clock then. */
+    private volatile List<Gateway.Server> lastList;
+    private volatile double lastListAtMs;
+    /** How far the wall clock of the node has stepped since its start. */
+    private volatile long wallClockStepMs;
     private Map<String, String> environment = Map.of();
     @TempDir
     private Path tempDir;
@@ -214,7 +221,7 @@
             assertEquals(2, settings.gatewayCount());
             assertEquals(List.of("utilization", "outstanding"), settings.loadFields());
             return module;
-        });
+        }, () -> System.currentTimeMillis() + wallClockStepMs);
         Thread watching = new Thread(() -> {
             try {
                 acceptWatch();
@@ -863,6 +870,20 @@
         expectEvent("settings 2 read SAFE refuse SAFE");
     }
 
+    /** Whether the wall clock goes back or forward, a server that starts after that has just started. */
+    @Test void serverAgesOutlastStepsOfTheWallClock() throws Exception {
+        start();
+        for (long stepMs : new long[] {-3_600_000, 3_600_000, 5_000, 0}) {
+            wallClockStepMs = stepMs;
+            long startedUnixMs = System.currentTimeMillis() + stepMs;
+            sendWatchLine(listJson(42, false, memberJson("s1", "127.0.0.1:9", "active")
+                .replace("\"born_ms\":0", "\"born_ms\":" + startedUnixMs)));
+            expectEvent("changes s1 UP");
+            double ageMs = lastListAtMs - lastList.get(0).startedAtMs();
+            assertTrue(ageMs >= 0 && ageMs < 20_000, "step of " + stepMs + " ms: age " + ageMs + " ms");
+        }
+    }
+
     /** Of two signals in a row the file of the later one is in force, whichever thread reads faster. */
     @Test void reloadsTakeEffectInTheOrderOfTheirSignals() throws Exception {
         start();
