--- a/src/main/java/willowyoke/Gateway.java
+++ b/src/main/java/willowyoke/Gateway.java
@@ -218,6 +218,14 @@
          */
         void handoverStarted(double nowMs);
 
+        /**
+         * The wall clock has stepped. Gateways that started before and after that have clocks that differ;
+         * what they share, such as the names of counters, goes by the wall clock.
+         *
+         * @param offsetMs what the wall clock shows more than the clock of the events, from here on
+         */
+        void wallClockStepped(double nowMs, double offsetMs);
+
         /** Returns whether any list so far has named this server. */
         boolean knowsServer(String server);
 
--- a/src/main/java/willowyoke/GatewayPolicy.java
+++ b/src/main/java/willowyoke/GatewayPolicy.java
@@ -701,6 +701,10 @@
         }
     }
 
+    @Override public void wallClockStepped(double timeMs, double offsetMs) {
+        advanceTo(timeMs);
+    }
+
     @Override public void probeEnded(double timeMs, String server, Gateway.Outcome outcome, double durationMs,
         double[] load) {
         advanceTo(timeMs);
--- a/src/main/java/willowyoke/net/EdgeNode.java
+++ b/src/main/java/willowyoke/net/EdgeNode.java
@@ -176,7 +176,7 @@
     /** Creates a node with a wall clock, in ms of Unix time, that may step at any time. */
     EdgeNode(Config config, ModuleFactory moduleFactory, LongSupplier wallClockMs) {
         startUnixMs = wallClockMs.getAsLong();
-        wallClock = new WallClock(wallClockMs, this::nowMs);
+        wallClock = new WallClock(wallClockMs, this::nowMs, this::wallClockStepped);
         initialConfig = config;
         currentConfig = config;
         this.moduleFactory = moduleFactory;
@@ -473,6 +473,12 @@
         return startUnixMs + (System.nanoTime() - startNanos) / 1e6;
     }
 
+    private void wallClockStepped() {
+        System.err.println("the wall clock has stepped; it shows " + Math.round(wallClock.offsetMs())
+            + " ms more than this node's clock");
+        notifyModule(m -> m.wallClockStepped(nowMs(), wallClock.offsetMs()));
+    }
+
     /** The wall clock, by which others tell times. */
     WallClock wallClock() {
         return wallClock;
--- a/src/main/java/willowyoke/net/WallClock.java
+++ b/src/main/java/willowyoke/net/WallClock.java
@@ -21,12 +21,14 @@
 
     private final LongSupplier unixMs;
     private final DoubleSupplier nodeMs;
+    private final Runnable stepListener;
     /** The eras so far, oldest first. */
     private final List<Era> eras = new ArrayList<>();
     private double lastSampleAtMs;
 
-    /** Takes the wall clock in ms of Unix time, and the node's clock in ms. */
-    WallClock(LongSupplier unixMs, DoubleSupplier nodeMs) {
+    /** Takes the wall clock in ms of Unix time, the node's clock in ms, and what is to run after a step. */
+    WallClock(LongSupplier unixMs, DoubleSupplier nodeMs, Runnable stepListener) {
+        this.stepListener = stepListener;
         this.unixMs = unixMs;
         this.nodeMs = nodeMs;
         lastSampleAtMs = nodeMs.getAsDouble();
@@ -37,13 +39,17 @@
     void sample() {
         double nowMs = nodeMs.getAsDouble();
         double offsetMs = unixMs.getAsLong() - nowMs;
-        if (Math.abs(offsetMs - offsetMs()) > STEP_THRESHOLD_MS) {
+        boolean stepped = Math.abs(offsetMs - offsetMs()) > STEP_THRESHOLD_MS;
+        if (stepped) {
             eras.add(new Era(offsetMs, lastSampleAtMs));
             if (eras.size() > MAX_ERAS) {
                 eras.remove(0);
             }
         }
         lastSampleAtMs = nowMs;
+        if (stepped) {
+            stepListener.run();
+        }
     }
 
     /** Returns what the wall clock shows more than the node's clock. */
--- a/src/test/java/willowyoke/net/EdgeNodeTest.java
+++ b/src/test/java/willowyoke/net/EdgeNodeTest.java
@@ -113,6 +113,10 @@
             events.add("handover");
         }
 
+        @Override public void wallClockStepped(double nowMs, double offsetMs) {
+            events.add("stepped by " + Math.round(offsetMs / 1000) + " s");
+        }
+
         @Override public boolean knowsServer(String id) {
             return id.equals("s0");
         }
@@ -878,6 +882,7 @@
             long startedUnixMs = System.currentTimeMillis() + stepMs;
             sendWatchLine(listJson(42, false, memberJson("s1", "127.0.0.1:9", "active")
                 .replace("\"born_ms\":0", "\"born_ms\":" + startedUnixMs)));
+            expectEvent("stepped by " + stepMs / 1000 + " s");
             expectEvent("changes s1 UP");
             double ageMs = lastListAtMs - lastList.get(0).startedAtMs();
             assertTrue(ageMs >= 0 && ageMs < 20_000, "step of " + stepMs + " ms: age " + ageMs + " ms");
--- a/src/test/java/willowyoke/net/WallClockTest.java
+++ b/src/test/java/willowyoke/net/WallClockTest.java
@@ -10,7 +10,8 @@
 
     private double nodeMs = 1e12;
     private double stepMs;
-    private final WallClock clock = new WallClock(() -> Math.round(nodeMs + stepMs), () -> nodeMs);
+    private final WallClock clock = new WallClock(() -> Math.round(nodeMs + stepMs), () -> nodeMs,
+        () -> { });
 
     /** Lets time pass, with the wall clock looked at every 250 ms as the node does it. */
     private void pass(double ms) {
