Name shared counters by the wall clock, also after it has stepped

Callers saw: customers served up to twice their quota after a step of the wall clock, once some gateways had restarted. Cause: the epochs in counter names came from each gateway's own clock, set at its start. Why it works: epochs are those of the wall clock, which all machines share; the module learns of a step by wallClockStepped, and a claim keeps the offset by which its epoch was named, so its answer is judged by the same time. A step is for the counter what a new epoch is.

--- a/src/main/java/willowyoke/GatewayPolicy.java
+++ b/src/main/java/willowyoke/GatewayPolicy.java
@@ -119,6 +119,8 @@
     private Gateway.Settings settings;
     private final Gateway.Actions actions;
     private final Random random;
+    /** What the wall clock shows more than the clock of the events. */
+    private double wallClockOffsetMs;
     private double nowMs;
     private long nextSerial;
     private final Map<String, ClassStats> classes = new HashMap<>();
@@ -264,6 +266,8 @@
         /** An equal share of the quota, less all that is sent here. */
         final TokenBucket equalShareBucket = new TokenBucket();
         long claimEpoch;
+        /** The offset of the wall clock by which the epoch of the claim was named. */
+        double claimClockOffsetMs;
         long requestedSlotEpoch;
         long lastTotalEpoch;
         /** Attempts in flight. */
@@ -703,6 +707,7 @@
 
     @Override public void wallClockStepped(double timeMs, double offsetMs) {
         advanceTo(timeMs);
+        wallClockOffsetMs = offsetMs;
     }
 
     @Override public void probeEnded(double timeMs, String server, Gateway.Outcome outcome, double durationMs,
@@ -841,8 +846,13 @@
         }
     }
 
+    /** The time that all gateways agree on, whenever each of them started: that of the wall clock. */
+    private double sharedMs() {
+        return nowMs + wallClockOffsetMs;
+    }
+
     private long quotaEpoch() {
-        return (long) Math.floor(nowMs / QUOTA_EPOCH_MS);
+        return (long) Math.floor(sharedMs() / QUOTA_EPOCH_MS);
     }
 
     /** Adds an amount to a total on the shared counter; the answer comes as {@link #counterCallEnded}. */
@@ -880,14 +890,18 @@
         customer.addedUnits = units + customer.unreportedUnits;
         customer.unreportedUnits = 0;
         customer.claimEpoch = quotaEpoch();
+        customer.claimClockOffsetMs = wallClockOffsetMs;
         callCounter(customer, quotaCounterId(customer, customer.claimEpoch), customer.addedUnits,
             CounterCallKind.CLAIM);
     }
 
-    /** The units that the quota allows from the start of an epoch until now: a burst and the rate since. */
-    private double unitsAllowedSince(Customer customer, long epoch) {
-        return customer.plan.burstUnits()
-            + customer.plan.ratePerSecond() * (nowMs - epoch * QUOTA_EPOCH_MS) / 1000;
+    /**
+     * The units that the quota allows from the start of the epoch of the last claim until now: a burst and
+     * the rate since.
+     */
+    private double unitsAllowedSinceClaimEpoch(Customer customer) {
+        double epochStartMs = customer.claimEpoch * QUOTA_EPOCH_MS - customer.claimClockOffsetMs;
+        return customer.plan.burstUnits() + customer.plan.ratePerSecond() * (nowMs - epochStartMs) / 1000;
     }
 
     /** Takes over what a claim was granted, at once or as the rate fills it, and returns the rest. */
@@ -902,7 +916,7 @@
         }
         double ratePerMs = customer.plan.ratePerSecond() / 1000;
         // the level before this claim; negative where units are claimed that the rate has yet to fill
-        double levelBefore = unitsAllowedSince(customer, customer.claimEpoch) - (total - customer.addedUnits);
+        double levelBefore = unitsAllowedSinceClaimEpoch(customer) - (total - customer.addedUnits);
         // the bucket holds at most a burst, and at most what was last read of it and the rate since
         double knownLevel = Math.min(customer.plan.burstUnits(),
             Math.max(0, customer.bucketLevel) + ratePerMs * (nowMs - customer.bucketLevelMs));
@@ -955,7 +969,7 @@
      */
     private void correctionAnswered(Customer customer, boolean answered, double total) {
         if (answered && customer.correctionUnits > 0
-            && unitsAllowedSince(customer, customer.claimEpoch) - total
+            && unitsAllowedSinceClaimEpoch(customer) - total
                 < Math.max(0, customer.bucketLevel) - customer.correctionUnits / 2) {
             callCounter(customer, quotaCounterId(customer, customer.claimEpoch), -customer.correctionUnits,
                 CounterCallKind.RETURN);
@@ -1001,7 +1015,7 @@
         }
         if (!customer.awaitingCounter && nowMs >= customer.nextCallMs) {
             customer.awaitingCounter = true;
-            customer.requestedSlotEpoch = (long) Math.floor(nowMs / SLOT_EPOCH_MS);
+            customer.requestedSlotEpoch = (long) Math.floor(sharedMs() / SLOT_EPOCH_MS);
             callCounter(customer, slotCounterId(customer, customer.requestedSlotEpoch), 1,
                 CounterCallKind.ACQUIRE_SLOT);
         }
