Soak edge nodes in random overlapping faults, judged by rules and invariants

Change: 'barleyfall lab soak' draws experiments of 28 overlapping faults: failing system calls, steps of the wall clock, reloads, crowds of idle clients, restarts, kills, crashes, cuts, resets. Three rules are new: departures (no attempt begins 0.1 s after a client left), deadlines (no server is told more than the client has left plus 0.15 s) and invariants (no run-time check of a node fails).

--- a/fleet/cli/src/main/java/barleyfall/cli/LabCommand.java
+++ b/fleet/cli/src/main/java/barleyfall/cli/LabCommand.java
@@ -7,6 +7,7 @@
 import barleyfall.lab.experiment.Experiment;
 import barleyfall.lab.experiment.ExperimentReader;
 import barleyfall.lab.plan.Plan;
+import barleyfall.lab.process.SystemCallFaults;
 import barleyfall.lab.result.Report;
 import barleyfall.lab.result.RequestTimeline;
 import barleyfall.lab.result.Result;
@@ -15,6 +16,7 @@
 import barleyfall.lab.run.LabLog;
 import barleyfall.lab.run.LabRun;
 import barleyfall.lab.run.Project;
+import barleyfall.lab.run.SoakExperiment;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -117,6 +119,45 @@
         return Main.EXIT_OK;
     }
 
+    @Command(name = "soak", mixinStandardHelpOptions = true,
+        description = "Random overlapping faults over real edge nodes, failing system calls among them; "
+            + "prints each seed's rule violations.")
+    int soak(@Option(names = "--seeds", defaultValue = "50", description = "number of seeds") int seeds,
+        @Option(names = "--first", defaultValue = "1", description = "the first seed") long first,
+        @Option(names = "--edges", defaultValue = "24", description = "number of edge nodes") int edges,
+        @Option(names = "--out", paramLabel = "DIR",
+            description = "where each run has a folder (default: lab-out/soak-TIME)") Path out)
+        throws IOException {
+        if (!SystemCallFaults.isAvailable()) {
+            System.err.println("a C compiler (cc) is needed to make system calls fail");
+            return Main.EXIT_FAILED;
+        }
+        Path folder = out != null ? out : home().resolve("lab-out").resolve(
+            "soak-" + LocalDateTime.now().format(DateTimeFormatter.ofPattern("yyyyMMdd-HHmmss")));
+        int violations = 0;
+        for (long seed = first; seed < first + seeds; seed++) {
+            Result result = soakOnce(seed, edges, folder.resolve(Long.toString(seed)));
+            System.out.printf("seed %d: %d starts, %.0f failed system calls, served %.2f, %d violations%s%n",
+                seed, result.edges().stream().mapToInt(Result.EdgeRow::starts).sum(),
+                result.figures().get("system-call-faults"), result.figures().get("served"),
+                result.violations().size(), result.sound() ? "" : ", unsound: " + result.unsoundReasons());
+            result.violations().forEach(violation -> System.out.println("  " + violation.toLine()));
+            violations += result.violations().size();
+        }
+        return violations == 0 ? Main.EXIT_OK : Main.EXIT_FAILED;
+    }
+
+    private static Result soakOnce(long seed, int edges, Path folder) throws IOException {
+        Files.createDirectories(folder);
+        Files.writeString(folder.resolve("experiment.toml"), SoakExperiment.text(seed, edges));
+        try (LabLog log = new LabLog(folder)) {
+            return new LabRun(SoakExperiment.draw(seed, edges), seed, Project.find(home()), folder,
+                line -> { }).run();
+        } catch (InvalidFileException e) {
+            throw new IllegalStateException("seed " + seed + ": " + e.problems(), e);
+        }
+    }
+
     @Command(name = "list-trial", mixinStandardHelpOptions = true,
         description = "Writers, readers and watches at the list service while replicas are killed, stopped "
             + "and cut off; checks that what they saw is linearizable and gapless.")
--- a/fleet/lab/src/main/java/barleyfall/lab/experiment/Experiment.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/experiment/Experiment.java
@@ -103,10 +103,12 @@
      * @param maxUnits largest number of units of a request
      * @param swingFraction amplitude of the periodic variation of a customer's rate
      * @param rampMs time over which the rate rises from a tenth to all of it
+     * @param leaveFraction fraction of the tries whose client closes its connection before its time is over
      */
     public record Load(double requestsPerSecond, QuotaUse quotaUse, double skew, Range shiftIntervalMs,
         int maxRetries, String backoff, double firstBackoffMs, double honoursBusyFraction,
-        Range patienceFraction, Range deathNoticeMs, int maxUnits, double swingFraction, double rampMs) { }
+        Range patienceFraction, Range deathNoticeMs, int maxUnits, double swingFraction, double rampMs,
+        double leaveFraction) { }
 
     /**
      * How much of their quota the customers use. The default is {@code calmFraction} of it. A fraction of the
--- a/fleet/lab/src/main/java/barleyfall/lab/experiment/ExperimentReader.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/experiment/ExperimentReader.java
@@ -175,7 +175,8 @@
             table.number("honours_busy", Units.Kind.SHARE, 0.7),
             table.range("patience", Units.Kind.SHARE, 0.5, 1),
             table.range("notices_death", Units.Kind.TIME, 1000, 3700), table.integer("most_units", 6, 1, 100),
-            table.number("swing", Units.Kind.SHARE, 0.13), table.number("ramp", Units.Kind.TIME, 0));
+            table.number("swing", Units.Kind.SHARE, 0.13), table.number("ramp", Units.Kind.TIME, 0),
+            table.number("leave", Units.Kind.SHARE, 0));
     }
 
     private List<Experiment.Plan> readPlans(Table table) {
--- a/fleet/lab/src/main/java/barleyfall/lab/experiment/FaultReader.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/experiment/FaultReader.java
@@ -2,6 +2,8 @@
 
 import barleyfall.common.toml.Table;
 import barleyfall.common.toml.Units;
+import barleyfall.lab.process.SystemCallFaults;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
@@ -13,6 +15,8 @@
     private static final Map<String, Target> TARGETS_BY_KIND = Map.ofEntries(
         Map.entry("kill", Target.EDGES), Map.entry("pause", Target.EDGES),
         Map.entry("restart", Target.EDGES), Map.entry("disk", Target.EDGES),
+        Map.entry("system-calls", Target.EDGES), Map.entry("clock-step", Target.EDGES),
+        Map.entry("reload", Target.EDGES), Map.entry("crowd", Target.EDGES),
         Map.entry("server-crash", Target.SERVERS), Map.entry("server-silent", Target.SERVERS),
         Map.entry("server-slow", Target.SERVERS), Map.entry("deploy", Target.SERVERS),
         Map.entry("rotate", Target.SERVERS), Map.entry("zone-lost", Target.ZONE),
@@ -23,10 +27,12 @@
         Map.entry("list-cut", Target.LIST), Map.entry("discovery-silent", Target.NONE),
         Map.entry("burst", Target.NONE), Map.entry("hot-customer", Target.NONE));
     /** Kinds without a duration. */
-    private static final Set<String> INSTANTANEOUS_KINDS = Set.of("reset", "counter-forget");
+    private static final Set<String> INSTANTANEOUS_KINDS = Set.of("reset", "counter-forget", "reload");
     private static final Set<String> DISK_DAMAGES = Set.of("truncate", "flip", "drop-tail", "fill",
         "read-only");
+    private static final Set<String> CLOCK_DIRECTIONS = Set.of("forward", "back");
     private static final int MAX_FACTOR = 100;
+    private static final int MAX_CROWD = 10_000;
 
     private FaultReader() { }
 
@@ -80,7 +86,12 @@
             case "deploy", "rotate" -> table.number("drain", Units.Kind.TIME, 3000);
             default -> 0;
         };
-        String how = kind.equals("disk") ? table.oneOf("damage", null, DISK_DAMAGES) : null;
+        String how = switch (kind) {
+            case "disk" -> table.oneOf("damage", null, DISK_DAMAGES);
+            case "system-calls" -> readSystemCalls(table);
+            case "clock-step" -> table.oneOf("direction", "forward", CLOCK_DIRECTIONS);
+            default -> null;
+        };
         String file = kind.equals("disk") ? table.string("file", "*") : null;
         return new Experiment.Fault(name, kind, atMs, durationMs, target, from, to, how, bothWays,
             readSize(table, kind), intervalMs, downMs, file, table.line());
@@ -102,6 +113,22 @@
         return text;
     }
 
+    /** Reads which system calls fail, and how often; a wrong one is reported as a problem. */
+    private static String readSystemCalls(Table table) {
+        List<String> calls = table.strings("calls", List.of());
+        if (calls.isEmpty()) {
+            table.addProblem("calls", "is missing");
+        }
+        for (String call : calls) {
+            try {
+                SystemCallFaults.Rule.parse(call);
+            } catch (IllegalArgumentException bad) {
+                table.addProblem("calls", bad.getMessage());
+            }
+        }
+        return String.join(SystemCallFaults.Rule.SEPARATOR, calls);
+    }
+
     /** Reports a target that the kind of fault does not act on. */
     private static void checkTarget(Table table, Target targetKind, String target) {
         boolean fits = !target.equals("others") && switch (targetKind) {
@@ -122,7 +149,9 @@
         return switch (kind) {
             case "server-slow", "burst" -> readFactor(table, "times");
             case "deploy", "restart", "rotate" -> table.number("batch", Units.Kind.SHARE, 0.1);
-            case "delay" -> table.requiredNumber("by", Units.Kind.TIME);
+            case "delay", "clock-step" -> table.requiredNumber("by", Units.Kind.TIME);
+            case "reload" -> table.integer("signals", 1, 1, MAX_FACTOR);
+            case "crowd" -> table.integer("clients", 100, 1, MAX_CROWD);
             case "throttle" -> table.requiredNumber("bytes", Units.Kind.RATE) / 1000;
             case "loss" -> table.requiredNumber("share", Units.Kind.SHARE);
             case "hot-customer" -> table.requiredNumber("share", Units.Kind.SHARE);
--- a/fleet/lab/src/main/java/barleyfall/lab/process/SystemCallFaults.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/process/SystemCallFaults.java
@@ -8,6 +8,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -30,6 +31,14 @@
 
     /** One kind of fault: the given fraction of the calls has the effect. */
     public record Rule(Call call, Effect effect, double fraction) {
+        /** Stands between the rules of a text with several. */
+        public static final String SEPARATOR = ";";
+
+        /** Parses rules with separators between them. */
+        public static List<Rule> parseAll(String text) {
+            return Stream.of(text.split(SEPARATOR)).map(Rule::parse).toList();
+        }
+
         /** Parses a text such as {@code accept ENFILE 20%}; throws IllegalArgumentException. */
         public static Rule parse(String text) {
             String[] words = text.strip().split("\\s+");
--- a/fleet/lab/src/main/java/barleyfall/lab/rules/RuleChecker.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/rules/RuleChecker.java
@@ -19,6 +19,9 @@
         found.addAll(ColdServerRule.check(trace, limits));
         found.addAll(CeilingRule.check(index, trace, limits));
         found.addAll(FabricatedAnswerRule.check(index));
+        found.addAll(DepartureRule.check(index, limits));
+        found.addAll(DeadlineRule.check(index, limits));
+        found.addAll(InvariantRule.check(trace));
         found.addAll(UnexpectedExitRule.check(trace));
         found.sort(Comparator.comparingDouble(Violation::at));
         return found;
--- a/fleet/lab/src/main/java/barleyfall/lab/rules/TraceIndex.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/rules/TraceIndex.java
@@ -19,6 +19,8 @@
         final List<Event.ResponseMissing> missing = new ArrayList<>();
         final List<Event.AttemptReceived> attempts = new ArrayList<>();
         final List<Event.AttemptEnded> attemptEnds = new ArrayList<>();
+        /** Null where the client has waited for its answer. */
+        Event.ClientLeft left;
 
         /** Returns how an attempt ended at its flag server, or null if it did not end. */
         Event.AttemptEnded endOf(Event.AttemptReceived attempt) {
@@ -46,6 +48,8 @@
                 request(attempt.id()).attempts.add(attempt);
             } else if (event instanceof Event.AttemptEnded end) {
                 request(end.id()).attemptEnds.add(end);
+            } else if (event instanceof Event.ClientLeft left) {
+                request(left.id()).left = left;
             } else if (event instanceof Event.UnexpectedResponse response) {
                 unexpectedResponses.add(response);
             } else if (event instanceof Event.MalformedRequest request) {
--- a/fleet/lab/src/main/java/barleyfall/lab/run/EdgeProcesses.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/run/EdgeProcesses.java
@@ -7,28 +7,37 @@
 import barleyfall.lab.process.EdgeProcess;
 import barleyfall.lab.process.ResourceLimiter;
 import barleyfall.lab.process.SignalSender;
+import barleyfall.lab.process.SystemCallFaults;
 import barleyfall.lab.seen.Event;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 
 /** Starts, configures and stops the edge nodes of a run. */
 final class EdgeProcesses implements AutoCloseable {
     private static final int READY_TIMEOUT_SECONDS = 30;
     private static final int CONTROL_TIMEOUT_MS = 3000;
     private static final double TERM_GRACE_MS = 2000;
+    private static final Set<String> SYSTEM_CALL_FAULT_KINDS = Set.of("system-calls", "clock-step");
+    /** What calls on files can fail: those of the shared folder, and the configuration. */
+    private static final String AFFECTED_FILES = "/tmp/detached:/config.json";
+    private static final String VIOLATION_PREFIX = "invariant ";
 
     private final Plan plan;
     private final LabClock clock;
@@ -43,6 +52,8 @@
     private final SignalSender signalSender = new SignalSender();
     private final List<EdgeProcess> processes = new ArrayList<>();
     private final ResourceLimiter limiter;
+    /** By the number of the edge node; empty where the experiment has no such fault. */
+    private final List<SystemCallFaults> systemCallFaults = new ArrayList<>();
 
     EdgeProcesses(Plan plan, LabClock clock, AddressBlock addresses, LabEnvironment environment,
         Project project, Path runFolder, Consumer<Event> trace) throws IOException {
@@ -58,6 +69,13 @@
             processes.add(new EdgeProcess(i, project.root(), project.startCommand(), folder,
                 experiment.limits().descriptors(), clock, spawnThread, signalSender, trace));
         }
+        if (experiment.faults().stream().anyMatch(fault -> SYSTEM_CALL_FAULT_KINDS.contains(fault.kind()))) {
+            long seed = plan.randomStreams().of("system calls").nextLong();
+            for (EdgeProcess edge : processes) {
+                systemCallFaults.add(new SystemCallFaults(edge.folder().resolve("system-call-faults"),
+                    seed + edge.number(), AFFECTED_FILES));
+            }
+        }
         limiter = new ResourceLimiter(processes, experiment.limits(), clock, trace);
     }
 
@@ -66,14 +84,69 @@
         return processes.get(number);
     }
 
-    /** Starts an edge node for the first time or again. */
+    /** Starts an edge node for the first time or again; does nothing where it runs, by another fault's end. */
     void start(int number) throws IOException {
+        synchronized (processes.get(number)) {
+            if (!processes.get(number).isAlive()) {
+                startStopped(number);
+            }
+        }
+    }
+
+    private void startStopped(int number) throws IOException {
         long seed = plan.randomStreams().of("seed of n" + number + " at " + Math.round(clock.nowMs()))
             .nextLong();
+        Map<String, String> variables = new HashMap<>(Map.of("EDGE_NAME", "n" + number, "EDGE_LISTEN",
+            AddressBlock.hostAndPort(addresses.edge(number)), "EDGE_DISCOVERY",
+            String.join(",", environment.discoveryAddresses(number))));
+        if (!systemCallFaults.isEmpty()) {
+            variables.putAll(systemCallFaults.get(number).environment());
+        }
         processes.get(number).start(EdgeConfigWriter.write(plan, number, addresses, seed,
-            environment.discoveryAddresses(number), environment.knownList(number)),
-            Map.of("EDGE_NAME", "n" + number, "EDGE_LISTEN", AddressBlock.hostAndPort(addresses.edge(number)),
-                "EDGE_DISCOVERY", String.join(",", environment.discoveryAddresses(number))));
+            environment.discoveryAddresses(number), environment.knownList(number)), variables);
+        environment.front.announceStart(number);
+    }
+
+    /** Returns the faults of an edge node's system calls; throws if the experiment has none of these. */
+    SystemCallFaults systemCallFaults(int number) {
+        return systemCallFaults.get(number);
+    }
+
+    /** Returns where an edge node listens for clients. */
+    InetSocketAddress address(int number) {
+        return addresses.edge(number);
+    }
+
+    /** Sends SIGHUP to an edge node that is ready, as the platform does; its configuration is unchanged. */
+    void reload(int number) {
+        if (processes.get(number).isAlive() && environment.front.isUp(number)) {
+            signalSender.send("HUP", processes.get(number).process());
+        }
+    }
+
+    /** Returns how many faults were injected into the system calls of all edge nodes. */
+    long injectedFaultCount() {
+        return systemCallFaults.stream().mapToLong(SystemCallFaults::injectedCount).sum();
+    }
+
+    /** Records the violated invariants that the edge nodes have logged, in all of their starts. */
+    void recordViolations() throws IOException {
+        for (EdgeProcess edge : processes) {
+            try (Stream<Path> files = Files.list(edge.folder())) {
+                for (Path file : files.filter(f -> f.getFileName().toString().startsWith("log-")).toList()) {
+                    recordViolations(edge.number(), file);
+                }
+            }
+        }
+    }
+
+    private void recordViolations(int number, Path log) throws IOException {
+        for (String line : Files.readAllLines(log, StandardCharsets.ISO_8859_1)) {
+            if (line.startsWith(VIOLATION_PREFIX)) {
+                trace.accept(new Event.InvariantViolated(clock.nowMs(), number,
+                    line.substring(VIOLATION_PREFIX.length())));
+            }
+        }
     }
 
     /** Starts all edge nodes and waits until each has answered PING; throws if one has not within 30 s. */
--- a/fleet/lab/src/main/java/barleyfall/lab/run/FaultScheduler.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/run/FaultScheduler.java
@@ -4,6 +4,7 @@
 import barleyfall.lab.net.LabClock;
 import barleyfall.lab.plan.Plan;
 import barleyfall.lab.process.EdgeProcess;
+import barleyfall.lab.process.SystemCallFaults;
 import barleyfall.lab.seen.Event;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -26,9 +27,11 @@
  */
 final class FaultScheduler {
     private static final Logger LOG = LoggerFactory.getLogger(FaultScheduler.class);
-    /** A restarted edge node is killed this long after the time that its requests may need. */
+    /** A restarted edge node is killed this long after the time that its requests may need: the earliest. */
     private static final double KILL_GRACE_MS = 700;
-    private static final double MIN_DRAIN_MS = 3000;
+    /** A longer deadline counts as this long. */
+    private static final double MAX_DRAIN_MS = 3000;
+    private static final double SIGNAL_INTERVAL_MS = 3;
     private static final int THREAD_COUNT = 32;
 
     /** One step of a fault. */
@@ -51,6 +54,8 @@
     private final Set<Integer> replacedServers = ConcurrentHashMap.newKeySet();
     /** By the name of the fault, so that its end restores the replicas that its start affected. */
     private final Map<String, List<Integer>> affectedReplicas = new ConcurrentHashMap<>();
+    /** The idle clients of each fault, by its name. */
+    private final Map<String, Crowd> crowds = new ConcurrentHashMap<>();
     private final ConcurrentLinkedQueue<String> failures = new ConcurrentLinkedQueue<>();
 
     FaultScheduler(Plan plan, LabClock clock, LabEnvironment environment, EdgeProcesses edges,
@@ -87,6 +92,7 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
+        crowds.values().forEach(Crowd::close);
         return List.copyOf(failures);
     }
 
@@ -129,6 +135,23 @@
             case "deploy" -> inBatches(fault, plan.affectedServers(fault), number -> deploy(fault, number));
             case "rotate" -> inBatches(fault, plan.affectedServers(fault), number -> rotate(fault, number));
             case "cut", "delay", "throttle", "loss", "reset" -> linkFaults.begin(fault);
+            case "system-calls" -> plan.affectedEdges(fault)
+                .forEach(number -> SystemCallFaults.Rule.parseAll(fault.how())
+                    .forEach(edges.systemCallFaults(number)::begin));
+            case "clock-step" -> plan.affectedEdges(fault).forEach(number -> edges.systemCallFaults(number)
+                .setWallClockOffsetMs(Math.round(fault.how().equals("back") ? -fault.size() : fault.size())));
+            case "reload" -> {
+                for (int i = 0; i < fault.size(); i++) {
+                    scheduleStep(fault.at() + i * SIGNAL_INTERVAL_MS, fault,
+                        () -> plan.affectedEdges(fault).forEach(edges::reload));
+                }
+            }
+            case "crowd" -> {
+                for (int number : plan.affectedEdges(fault)) {
+                    crowds.computeIfAbsent(fault.name(), name -> new Crowd())
+                        .join(edges.address(number), (int) fault.size());
+                }
+            }
             case "counter-away" -> environment.counter.setAway(true);
             case "counter-forget" -> environment.counter.clearCounts();
             case "list-kill", "list-pause", "list-cut" -> {
@@ -161,6 +184,17 @@
             case "server-slow" -> plan.affectedServers(fault)
                 .forEach(number -> environment.servers.setSlowdown(number, 1));
             case "cut", "delay", "throttle", "loss" -> linkFaults.end(fault);
+            case "system-calls" -> plan.affectedEdges(fault)
+                .forEach(number -> SystemCallFaults.Rule.parseAll(fault.how())
+                    .forEach(edges.systemCallFaults(number)::end));
+            case "clock-step" -> plan.affectedEdges(fault)
+                .forEach(number -> edges.systemCallFaults(number).setWallClockOffsetMs(0));
+            case "crowd" -> {
+                Crowd crowd = crowds.remove(fault.name());
+                if (crowd != null) {
+                    crowd.close();
+                }
+            }
             case "counter-away" -> environment.counter.setAway(false);
             case "list-kill", "list-pause", "list-cut" -> {
                 for (int replica : affectedReplicas.getOrDefault(fault.name(), List.of())) {
@@ -246,7 +280,7 @@
         double longestDeadlineMs = plan.experiment().classes().stream()
             .mapToDouble(Experiment.RequestClass::deadlineMs).max().orElse(0);
         environment.front.announceRestart(number);
-        edges.process(number).termOrKill(Math.max(MIN_DRAIN_MS, longestDeadlineMs) + KILL_GRACE_MS);
+        edges.process(number).termOrKill(Math.min(MAX_DRAIN_MS, longestDeadlineMs) + KILL_GRACE_MS);
         edges.start(number);
     }
 
--- a/fleet/lab/src/main/java/barleyfall/lab/run/LabRun.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/run/LabRun.java
@@ -66,6 +66,7 @@
         Histogram latenessMicros;
         double cpuMs;
         double standInLagMs;
+        long injectedFaults;
         try (AddressBlock addresses = AddressBlock.claim()) {
             LabEnvironment environment = new LabEnvironment(plan, clock, addresses, folder, trace);
             try (EdgeProcesses edges =
@@ -83,6 +84,9 @@
                 progressThread.interrupt();
                 cpuMs = cpuMs() - cpuBeforeMs;
                 unsoundReasons.addAll(faults.stop());
+                injectedFaults = edges.injectedFaultCount();
+                edges.close(); // what they log at their end counts
+                edges.recordViolations();
             } finally {
                 environment.stop();
             }
@@ -109,6 +113,7 @@
         extraFigures.put("lab-late-p50-ms", latenessMicros.getValueAtPercentile(50) / 1000.0);
         extraFigures.put("lab-late-p99-ms", latenessMs);
         extraFigures.put("stand-ins-late-p99-ms", standInLagMs);
+        extraFigures.put("system-call-faults", (double) injectedFaults);
         extraFigures.put("lab-cpu-cores", cpuMs / (experiment.lengthMs() + START_DELAY_MS));
         Result result = new ResultBuilder(plan, events, violations)
             .build(seed, project.root().getFileName().toString(), unsoundReasons, extraFigures);
--- a/fleet/lab/src/main/java/barleyfall/lab/seen/Event.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/seen/Event.java
@@ -17,6 +17,8 @@
     @JsonSubTypes.Type(value = Event.ResponseReceived.class, name = "answered"),
     @JsonSubTypes.Type(value = Event.ResponseMissing.class, name = "unanswered"),
     @JsonSubTypes.Type(value = Event.RequestNotSent.class, name = "not-taken"),
+    @JsonSubTypes.Type(value = Event.ClientLeft.class, name = "left"),
+    @JsonSubTypes.Type(value = Event.InvariantViolated.class, name = "invariant"),
     @JsonSubTypes.Type(value = Event.UnexpectedResponse.class, name = "unasked"),
     @JsonSubTypes.Type(value = Event.AttemptReceived.class, name = "attempt"),
     @JsonSubTypes.Type(value = Event.AttemptEnded.class, name = "attempt-over"),
@@ -71,6 +73,12 @@
     record ResponseMissing(@JsonProperty("at") double atMs, long id, int edge,
         @JsonProperty("why") String reason) implements Event { }
 
+    /** A client closed its connection before its try was answered. */
+    record ClientLeft(@JsonProperty("at") double atMs, long id, int edge) implements Event { }
+
+    /** An edge node's own run-time check failed; its log has the text. */
+    record InvariantViolated(@JsonProperty("at") double atMs, int edge, String text) implements Event { }
+
     /** A try that reached no edge node: no connection could be opened, or no connection was free. */
     record RequestNotSent(@JsonProperty("at") double atMs, @JsonProperty("meant") double intendedAtMs,
         long id, @JsonProperty("first") long firstTryId, @JsonProperty("number") int tryNumber, int edge,
@@ -91,10 +99,12 @@
      * @param firstByteMs when the first byte arrived
      * @param sequenceNumber number of the attempt among those of this flag server
      * @param workMs CPU time that the attempt costs the flag server
+     * @param timeLeftMs how long the edge node will wait, as it tells the flag server
      */
     record AttemptReceived(@JsonProperty("at") double atMs, @JsonProperty("firstByte") double firstByteMs,
         long id, int edge, String server, String zone, @JsonProperty("order") long sequenceNumber,
-        @JsonProperty("work") double workMs, @JsonProperty("key") String idempotencyKey) implements Event { }
+        @JsonProperty("work") double workMs, @JsonProperty("key") String idempotencyKey,
+        @JsonProperty("patience") double timeLeftMs) implements Event { }
 
     /**
      * An attempt ended at its flag server.
--- a/fleet/lab/src/main/java/barleyfall/lab/standin/EdgeConnectionPool.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/standin/EdgeConnectionPool.java
@@ -51,6 +51,10 @@
     private long nextSeed;
     private volatile boolean up;
     private volatile boolean stopped;
+    /** The edge node has been told to end: it gets no new connections, but those that are open are used. */
+    private volatile boolean ending;
+    /** How many connections are idle, for other threads. */
+    private volatile int idleCount;
     /** By the system's monotonic clock, as the clock of the run jumps when the load begins. */
     private long lastPongNanos;
 
@@ -81,6 +85,21 @@
         return up;
     }
 
+    /** Returns whether the edge node is ending and an open connection to it is free. */
+    boolean hasConnectionToEndingEdge() {
+        return ending && idleCount > 0;
+    }
+
+    /** Notes that the edge node has been told to end: its health is no longer checked. */
+    void markEnding() {
+        ending = true;
+    }
+
+    /** Notes that the edge node starts again. */
+    void markStarting() {
+        ending = false;
+    }
+
     /** Treats the edge node as down until it answers the next PING. */
     void markDown() {
         up = false;
@@ -105,7 +124,9 @@
         if (up && (System.nanoTime() - lastPongNanos) / NANOS_PER_MS > deathNoticeMs) {
             up = false;
         }
-        connect(new HealthCheck(System.nanoTime()));
+        if (!ending) {
+            connect(new HealthCheck(System.nanoTime()));
+        }
         loop.schedule(this::checkHealth, HEALTH_CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
     }
 
@@ -128,7 +149,7 @@
             try {
                 parser.add(in);
                 List<String> answer = parser.next();
-                if (answer != null && answer.get(0).equals("+PONG")) {
+                if (answer != null && answer.get(0).equals("+PONG") && !ending) {
                     lastPongNanos = sentNanos;
                     up = true;
                     ready.complete(null);
@@ -166,10 +187,15 @@
     /** Writes a try to an idle connection, or queues it and opens another connection if the limit allows. */
     private void dispatch(ClientTry clientTry) {
         Connection connection = idleConnections.pollLast();
+        idleCount = idleConnections.size();
         if (connection != null) {
             connection.write(clientTry);
             return;
         }
+        if (takesNoNewConnections()) {
+            front.reroute(clientTry);
+            return;
+        }
         waitingTries.add(clientTry);
         if (connectionCount < maxConnections) {
             connectionCount++;
@@ -177,6 +203,11 @@
         }
     }
 
+    /** Whether the edge node is ending and the time in which new connections still come is over. */
+    private boolean takesNoNewConnections() {
+        return ending && !up;
+    }
+
     private Experiment.RequestClass requestClass(ClientTry clientTry) {
         return front.experiment().classes().get(clientTry.arrival.classIndex());
     }
@@ -228,6 +259,8 @@
         private long lastId;
         private boolean hasAnswered;
         private boolean wasReset;
+        /** Its client has left: what still comes was on its way. */
+        private boolean left;
 
         /** Called when the connection could not be opened: fails one of the waiting tries. */
         @Override public void accept(String reason) {
@@ -251,6 +284,7 @@
                 write(clientTry);
             } else {
                 idleConnections.add(this);
+                idleCount = idleConnections.size();
             }
         }
 
@@ -288,10 +322,25 @@
                 arrival.id(), clientTry.tryNumber, edge, customer.number(), customer.plan(),
                 arrival.classIndex(), arrival.units(), remainingMs, key));
             ctx.writeAndFlush(Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII));
+            double leaveAfterMs = front.leaveAfterMs(clientTry, remainingMs);
+            if (leaveAfterMs >= 0) {
+                loop.schedule(() -> leave(clientTry), (long) (leaveAfterMs * NANOS_PER_MS), TimeUnit.NANOSECONDS);
+            }
             loop.schedule(() -> giveUp(clientTry, "no answer half a second after its time"),
                 (long) ((remainingMs + LATE_ANSWER_WAIT_MS) * NANOS_PER_MS), TimeUnit.NANOSECONDS);
         }
 
+        /** Closes the connection where the try is still open: its client has left, and tries no more. */
+        private void leave(ClientTry clientTry) {
+            if (current == clientTry && !clientTry.finished) {
+                clientTry.finished = true;
+                current = null;
+                left = true;
+                front.trace().accept(new Event.ClientLeft(front.clock().nowMs(), clientTry.id(), edge));
+                ctx.close();
+            }
+        }
+
         /** Records that no answer came and closes the connection. */
         private void giveUp(ClientTry clientTry, String reason) {
             if (current == clientTry && !clientTry.finished) {
@@ -323,6 +372,9 @@
         private void handleAnswer(List<String> answer) {
             double nowMs = front.clock().nowMs();
             String firstWord = answer.get(0);
+            if (current == null && left) {
+                return;
+            }
             if (current == null) {
                 front.trace().accept(new Event.UnexpectedResponse(nowMs, edge, lastId,
                     String.valueOf(firstWord)));
@@ -353,6 +405,7 @@
         @Override public void channelInactive(ChannelHandlerContext channelContext) {
             connectionCount--;
             idleConnections.remove(this);
+            idleCount = idleConnections.size();
             ClientTry clientTry = current;
             current = null;
             if (clientTry != null && !clientTry.finished) {
@@ -369,6 +422,9 @@
                     }
                 }
             }
+            while (takesNoNewConnections() && !waitingTries.isEmpty()) {
+                front.reroute(waitingTries.poll());
+            }
             if (!waitingTries.isEmpty() && connectionCount < maxConnections) {
                 connectionCount++;
                 connect(new Connection());
--- a/fleet/lab/src/main/java/barleyfall/lab/standin/FlagServer.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/standin/FlagServer.java
@@ -176,13 +176,13 @@
 
     /** Handles an attempt that has arrived completely: runs or queues it, or refuses it as busy. */
     void receiveAttempt(FlagServerConnection connection, long id, RequestLog.SentTry sentTry,
-        double firstByteMs) {
+        double firstByteMs, double timeLeftMs) {
         double nowMs = clock.nowMs();
         double workMs = sentTry.arrival().workMs();
         Attempt attempt = new Attempt(id, ++lastOrder, connection, false);
         connection.track(attempt);
         trace.accept(new Event.AttemptReceived(nowMs, firstByteMs, id, connection.edge(), machine.id(),
-            machine.zone(), attempt.order, workMs, sentTry.key()));
+            machine.zone(), attempt.order, workMs, sentTry.key(), timeLeftMs));
         advance();
         if (crashesFromOverload(nowMs, workMs)) {
             return;
--- a/fleet/lab/src/main/java/barleyfall/lab/standin/FlagServerConnection.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/standin/FlagServerConnection.java
@@ -111,7 +111,17 @@
             rejectMalformed(id, problem);
             return;
         }
-        server.receiveAttempt(this, id, sentTry, firstByteMs);
+        server.receiveAttempt(this, id, sentTry, firstByteMs, timeLeftMs(arguments.get(3)));
+    }
+
+    /** Returns the time in the pairs of a request, or NaN where there is none. */
+    private static double timeLeftMs(String pairs) {
+        for (String pair : pairs.split(",")) {
+            if (pair.startsWith("d=")) {
+                return Double.parseDouble(pair.substring(2));
+            }
+        }
+        return Double.NaN;
     }
 
     /**
--- a/fleet/lab/src/main/java/barleyfall/lab/standin/Front.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/standin/Front.java
@@ -10,6 +10,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -97,11 +98,34 @@
         pools.forEach(EdgeConnectionPool::startHealthChecks);
     }
 
-    /** Announces a planned restart: 300 ms later the front sends nothing more to the edge node. */
+    /**
+     * Announces a planned restart: 300 ms later the front opens no more connections to the edge node. Those
+     * that are open are used for as long as they stay open.
+     */
     public void announceRestart(int edge) {
+        pools.get(edge).markEnding();
         timers.schedule(pools.get(edge)::markDown, 300, TimeUnit.MILLISECONDS);
     }
 
+    /** Returns whether an edge node answers its health checks and has not been told to end. */
+    public boolean isUp(int edge) {
+        return pools.get(edge).isUp();
+    }
+
+    /** Announces that an edge node is started again, so that it is checked for health. */
+    public void announceStart(int edge) {
+        pools.get(edge).markStarting();
+    }
+
+    /**
+     * Returns after what time the client of a try leaves, or a negative number where it stays. It depends on
+     * the try's id only.
+     */
+    double leaveAfterMs(ClientTry clientTry, double remainingMs) {
+        SplittableRandom random = new SplittableRandom(clientTry.id());
+        return random.nextDouble() < experiment.load().leaveFraction() ? random.nextDouble() * remainingMs : -1;
+    }
+
     /** Returns how late first tries were handled, in microseconds. */
     public Histogram latenessMicros() {
         return startDelayMicros;
@@ -153,7 +177,7 @@
         int offset = Math.floorMod(drawnEdge - customer.first(), edges);
         for (int i = 0; i < customer.spread(); i++) {
             int edge = (customer.first() + (offset + i) % customer.spread()) % edges;
-            if (pools.get(edge).isUp()) {
+            if (pools.get(edge).isUp() || pools.get(edge).hasConnectionToEndingEdge()) {
                 pools.get(edge).submit(clientTry);
                 return;
             }
@@ -162,6 +186,11 @@
         recordNotTaken(clientTry, drawnEdge, "every edge node of the set is down");
     }
 
+    /** Sends a try to another edge node, as the one that was chosen takes no new connections. */
+    void reroute(ClientTry clientTry) {
+        begin(clientTry);
+    }
+
     /** Records a try that no edge node took, and ends it. */
     void recordNotTaken(ClientTry clientTry, int edge, String reason) {
         Arrival arrival = clientTry.arrival;
--- a/fleet/lab/src/test/java/barleyfall/lab/result/FiguresTest.java
+++ b/fleet/lab/src/test/java/barleyfall/lab/result/FiguresTest.java
@@ -46,7 +46,7 @@
     }
 
     private void addAttempt(long id, double atMs, String server, double endedAtMs) {
-        trace.add(new Event.AttemptReceived(atMs, atMs, id, 0, server, "a", id, 20, null));
+        trace.add(new Event.AttemptReceived(atMs, atMs, id, 0, server, "a", id, 20, null, 500));
         trace.add(new Event.AttemptEnded(endedAtMs, id, 0, server, id, "served", "v" + id));
     }
 
@@ -95,7 +95,7 @@
     @Test void unsafeRequestThatMayHaveRunIsNeitherRepeatedNorRefused() {
         trace.add(new Event.RequestSent(0, 0, 7, 7, 0, 0, 7, OPEN_PLAN, ONCE_CLASS, 1, 900, null));
         addAttempt(7, 10, "s", 800);
-        trace.add(new Event.AttemptReceived(200, 200, 7, 0, "t", "a", 9, 20, null));
+        trace.add(new Event.AttemptReceived(200, 200, 7, 0, "t", "a", 9, 20, null, 500));
         trace.add(new Event.ResponseReceived(300, 7, 0, "refused", null, 0));
         trace.sort(Comparator.comparingDouble(Event::atMs));
         assertEquals(List.of("repeats", "repeats"), violations().stream().map(Violation::rule).toList());
@@ -105,8 +105,8 @@
     @Test void keyedRepeatOutsideItsWindowIsAViolation() {
         trace.add(new Event.RequestSent(0, 0, 7, 7, 0, 0, 7, OPEN_PLAN, 1, 1, 9000, "k"));
         addAttempt(7, 10, "s", 5000);
-        trace.add(new Event.AttemptReceived(3900, 3900, 7, 0, "t", "a", 9, 20, "k"));
-        trace.add(new Event.AttemptReceived(4100, 4100, 7, 0, "u", "a", 10, 20, "k"));
+        trace.add(new Event.AttemptReceived(3900, 3900, 7, 0, "t", "a", 9, 20, "k", 500));
+        trace.add(new Event.AttemptReceived(4100, 4100, 7, 0, "u", "a", 10, 20, "k", 500));
         trace.add(new Event.ResponseReceived(5001, 7, 0, "served", "v7", 0));
         trace.sort(Comparator.comparingDouble(Event::atMs));
         List<Violation> violations = violations();
--- /dev/null
+++ b/fleet/lab/src/test/java/barleyfall/lab/run/SoakTest.java
@@ -0,0 +1,39 @@
+package barleyfall.lab.run;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.junit.jupiter.api.Assumptions.assumeTrue;
+
+import barleyfall.lab.process.SystemCallFaults;
+import barleyfall.lab.result.Result;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Random overlapping faults over a dozen real edge nodes break no rule; seed 3 has a crowd of idle clients. */
+@Timeout(120)
+class SoakTest {
+    private static final int EDGES = 12;
+
+    @TempDir Path folder;
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void breaksNoRule(long seed) throws Exception {
+        assumeTrue(SystemCallFaults.isAvailable(), "NOT RUN: there is no C compiler");
+        Result result = new LabRun(SoakExperiment.draw(seed, EDGES), seed, Project.find(Path.of("")), folder,
+            line -> { }).run();
+        assertEquals(List.of(), result.violations());
+        assertTrue(result.figures().get("system-call-faults") > 1000, result.figures().toString());
+    }
+
+    @Test void sameSeedGivesTheSameExperiment() throws Exception {
+        for (long seed = 1; seed <= 100; seed++) { // each is a valid experiment, too
+            assertEquals(SoakExperiment.draw(seed, EDGES), SoakExperiment.draw(seed, EDGES));
+        }
+    }
+}
