--- a/fleet/lab/src/test/java/barleyfall/lab/edge/EdgeFixture.java
+++ b/fleet/lab/src/test/java/barleyfall/lab/edge/EdgeFixture.java
@@ -42,8 +42,8 @@
     /** So many gateways that the warm-up of each is short. */
     private static final int GATEWAY_COUNT = 20;
 
-    /** A request that reached a flag server whole. */
-    record Received(int server, String id, long atNanos) { }
+    /** A request that reached a flag server whole, with the time that it tells the server. */
+    record Received(int server, String id, long atNanos, double timeLeftMs) { }
 
     final SystemCallFaults faults;
     /** What the flag servers have received, in the order of time. */
@@ -119,7 +119,8 @@
                 socket.getOutputStream().write("+OK\r\n".getBytes(StandardCharsets.US_ASCII));
                 continue;
             }
-            received.add(new Received(server, command.get(2), System.nanoTime()));
+            received.add(new Received(server, command.get(2), System.nanoTime(),
+                Double.parseDouble(command.get(3).replaceAll(".*\\bd=([0-9.]+).*", "$1"))));
             String value = "value of " + command.get(2);
             socket.getOutputStream().write(("*3\r\n$" + value.length() + "\r\n" + value
                 + "\r\n$-1\r\n$-1\r\n").getBytes(StandardCharsets.US_ASCII));
--- a/fleet/lab/src/test/java/barleyfall/lab/edge/EdgeSystemCallTest.java
+++ b/fleet/lab/src/test/java/barleyfall/lab/edge/EdgeSystemCallTest.java
@@ -27,6 +27,8 @@
 @Timeout(120)
 class EdgeSystemCallTest {
     private static final int DEADLINE_MS = 2000;
+    /** How much more than the client has left a server may be told. */
+    private static final double DEADLINE_SLACK_MS = 150;
     private static final int SERVER_COUNT = 4;
     /** An answer that is later than the client's time by more than this is lost. */
     private static final long LATE_ANSWER_MS = 500;
@@ -257,4 +259,23 @@
         edge.process().term();
         EdgeFixture.await("the node has ended", () -> !edge.process().isAlive());
     }
+
+    /** The time that a request waits in the accept queue is the client's too: no server is told more. */
+    @Test void timeInTheAcceptQueueIsSubtracted() throws Exception {
+        edge.start(edge.config(DEADLINE_MS));
+        Rule noAccept = Rule.parse("accept ENFILE 100%");
+        edge.faults.begin(noAccept);
+        EdgeFixture.Client client = edge.client();
+        long sentNanos = System.nanoTime();
+        client.send("read", 1, DEADLINE_MS);
+        long heldMs = 600;
+        EdgeFixture.await("accept fails for a while",
+            () -> System.nanoTime() - sentNanos > TimeUnit.MILLISECONDS.toNanos(heldMs));
+        edge.faults.end(noAccept);
+        assertEquals(EdgeFixture.valueOf(1), client.answer());
+        EdgeFixture.Received received = edge.received.get(0);
+        double usedMs = (received.atNanos() - sentNanos) / 1e6;
+        assertTrue(usedMs + received.timeLeftMs() <= DEADLINE_MS + DEADLINE_SLACK_MS,
+            "told the server " + received.timeLeftMs() + " ms after " + usedMs + " ms");
+    }
 }
--- a/src/test/java/willowyoke/net/RaceConditionTest.java
+++ b/src/test/java/willowyoke/net/RaceConditionTest.java
@@ -93,7 +93,9 @@
         switch (name) {
             case "requestArrived" -> {
                 Gateway.Request request = (Gateway.Request) args[1];
-                if (request.requestClass().equals("stop")) {
+                if (request.requestClass().equals("refuse")) {
+                    actions.refuse(request.id(), 0);
+                } else if (request.requestClass().equals("stop")) {
                     loopBlocked.countDown();
                     releaseLoop.await();
                     actions.fail(request.id());
@@ -497,6 +499,24 @@
         expectCancelled(1);
     }
 
+    /** The end of idle connections spares one that is new: its first request may be on its way. */
+    @Test void drainAnswersFirstRequestOfNewConnection() throws Exception {
+        start(flagServer.address());
+        Peer.Connection used = client();
+        used.writeCommand("PING");
+        assertEquals(List.of("+PONG"), used.readMessage());
+        Peer.Connection fresh = client();
+        CountDownLatch ended = drain();
+        assertTrue(used.reachesEnd());
+        fresh.write(callCommand(1, "refuse", 20_000));
+        List<String> answer = fresh.readMessage();
+        assertTrue(answer.get(0).startsWith("-"), answer.toString());
+        assertTrue(fresh.reachesEnd());
+        used.close();
+        fresh.close();
+        assertTrue(ended.await(10, TimeUnit.SECONDS));
+    }
+
     /** A client that always has a request open holds up no drain; each request that is read is answered. */
     @Test void drainEndsConnectionThatIsNeverIdle() throws Exception {
         start(flagServer.address());
