Keep new connections in a drain until their first request is answered

Cause: 0.45 s after SIGTERM a drain ended every connection without an open command, also one that had carried none yet; a client sends a request again only on a connection that has answered before. Why it works: such a connection stays open; its first request is served, or refused once the node refuses all, and then the connection ends. A silent one ends after 2.3 s as always.

--- a/src/main/java/willowyoke/net/ClientListener.java
+++ b/src/main/java/willowyoke/net/ClientListener.java
@@ -123,13 +123,14 @@
 
     /**
      * Closes the connections without unanswered commands, each in an event of its own and only if no command
-     * has been read from it by then.
+     * has been read from it by then. One that has carried no command yet stays open, as its first one may be
+     * on its way and no client sends that again; it ends after its answer, or when it stays silent.
      */
     void closeIdleConnections() {
         closing = true;
         for (Connection connection : connections) {
             node.runLater(() -> {
-                if (connection.slots.isEmpty()) {
+                if (connection.commandReceived && connection.slots.isEmpty()) {
                     connection.endOutput();
                 }
             });
