Count the time in the accept queue behind failing accepts as the client's

Callers saw: servers that were told more time than the client had left, and answers after the client's time, once accepts had failed. Cause: a request's time ran from its reading; while accept fails a connection waits in the queue with its request, unseen. Why it works: AcceptControl notes when accepts began to fail, until a poll finds the queue empty; what comes with a connection accepted in that time loses that much of its time. At most the whole time of failures is taken off, so a request that came later may get less than it had. Accepts are tried again after 1 ms instead of 2.

--- a/src/main/java/willowyoke/net/AcceptControl.java
+++ b/src/main/java/willowyoke/net/AcceptControl.java
@@ -3,15 +3,18 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.util.AttributeKey;
 
 /**
  * Decides when a listening socket accepts connections, as the only owner of that switch. It is the first
  * handler of the listening channel, so failures of accept end here: Netty's own handler would stop accepting
- * for a whole second after each, while requests wait in the connections that are queued.
+ * for a whole second after each, while requests wait in the connections that are queued. It also notes how
+ * long a connection may have waited so.
  */
 final class AcceptControl extends ChannelInboundHandlerAdapter {
     /** How long accepting stops after a failure. The cause is mostly over at once. */
-    private static final double RETRY_DELAY_MS = 2;
+    private static final double RETRY_DELAY_MS = 1;
+    private static final AttributeKey<Double> QUEUED_MS = AttributeKey.valueOf("queuedMs");
 
     private final EdgeNode node;
     private Channel listener;
@@ -19,13 +22,20 @@
     private boolean full;
     /** The last accept failed, and the next one is not due yet. */
     private boolean failed;
-    /** From a failure until the accepts after it have had their time. */
-    private boolean retrying;
+    /** When the first of the failures was since which connections may wait in the queue; 0 without any. */
+    private double failingSinceMs;
+    private int acceptedCount;
 
     AcceptControl(EdgeNode node) {
         this.node = node;
     }
 
+    /** Returns how long an accepted connection may have waited because accepts failed. */
+    static double queuedMs(Channel accepted) {
+        Double queuedMs = accepted.attr(QUEUED_MS).get();
+        return queuedMs == null ? 0 : queuedMs;
+    }
+
     @Override public void handlerAdded(ChannelHandlerContext ctx) {
         listener = ctx.channel();
     }
@@ -38,7 +48,7 @@
 
     /** Whether accept failed a moment ago, so that connections may wait in the queue. */
     boolean hasFailed() {
-        return retrying;
+        return failingSinceMs > 0;
     }
 
     /** Closes the listening socket. */
@@ -46,18 +56,44 @@
         listener.close();
     }
 
+    @Override public void channelRead(ChannelHandlerContext ctx, Object accepted) {
+        acceptedCount++;
+        if (failingSinceMs > 0) {
+            ((Channel) accepted).attr(QUEUED_MS).set(node.nowMs() - failingSinceMs);
+        }
+        ctx.fireChannelRead(accepted);
+    }
+
     @Override public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         node.countLocalFailure("accept");
+        if (failingSinceMs == 0) {
+            failingSinceMs = node.nowMs();
+        }
         if (!failed) {
             failed = true;
-            retrying = true;
             update();
-            // the socket is edge-triggered: only switching off and on again shows what is queued already
-            node.schedule(RETRY_DELAY_MS, () -> {
-                failed = false;
-                update();
-                node.schedule(RETRY_DELAY_MS, () -> retrying = failed);
-            });
+            node.schedule(RETRY_DELAY_MS, this::retry);
+        }
+    }
+
+    /** Accepts again. The socket is edge-triggered: only off and on again shows what is queued already. */
+    private void retry() {
+        failed = false;
+        update();
+        int acceptedBefore = acceptedCount;
+        node.runAfterNextPoll(() -> endFailures(acceptedBefore));
+    }
+
+    /** Ends the time of failures once a poll has found no connection in the queue. */
+    private void endFailures(int acceptedBefore) {
+        if (failed) {
+            return;
+        }
+        if (acceptedCount == acceptedBefore) {
+            failingSinceMs = 0;
+        } else {
+            int acceptedNow = acceptedCount;
+            node.runAfterNextPoll(() -> endFailures(acceptedNow));
         }
     }
 
--- a/src/main/java/willowyoke/net/ClientListener.java
+++ b/src/main/java/willowyoke/net/ClientListener.java
@@ -227,6 +227,8 @@
         private final RespCodec.FrameTracker frameTracker;
         private final ArrayDeque<AnswerSlot> slots = new ArrayDeque<>();
         private boolean commandReceived;
+        /** How long what is read may have waited in the accept queue; 0 after the first read. */
+        private double queuedMs;
         private boolean discardingInput;
         private boolean outputEnded;
         private double lastWriteAtMs = Double.NEGATIVE_INFINITY;
@@ -234,6 +236,7 @@
         Connection(SocketChannel channel, RespCodec.FrameTracker frameTracker) {
             this.channel = channel;
             this.frameTracker = frameTracker;
+            queuedMs = AcceptControl.queuedMs(channel);
         }
 
         private EdgeNode node() {
@@ -294,7 +297,8 @@
         private void handleCommand(AnswerSlot slot, ArrayRedisMessage command) {
             String name = RespCodec.text(command.children().get(0));
             if ("CALL.GET".equals(name) || "CALL.POST".equals(name)) {
-                String error = refusing ? node.refuseRequest(slot, command) : node.acceptRequest(slot, command);
+                String error = refusing ? node.refuseRequest(slot, command)
+                    : node.acceptRequest(slot, command, queuedMs);
                 if (error != null) {
                     slot.answer(new ErrorRedisMessage("ERR " + error));
                 }
@@ -412,6 +416,7 @@
         }
 
         @Override public void channelReadComplete(ChannelHandlerContext ctx) {
+            queuedMs = commandReceived ? 0 : queuedMs;
             node.flushChannels();
         }
 
--- a/src/main/java/willowyoke/net/EdgeNode.java
+++ b/src/main/java/willowyoke/net/EdgeNode.java
@@ -598,8 +598,12 @@
 
     // ---- requests of clients ----
 
-    /** Accepts a request; returns what is wrong with a malformed one, else null. */
-    String acceptRequest(ClientListener.AnswerSlot slot, ArrayRedisMessage command) {
+    /**
+     * Accepts a request; returns what is wrong with a malformed one, else null.
+     *
+     * @param queuedMs how long it may have waited in the accept queue, which is a part of its time
+     */
+    String acceptRequest(ClientListener.AnswerSlot slot, ArrayRedisMessage command, double queuedMs) {
         double nowMs = nowMs();
         CallCommand call;
         try {
@@ -611,7 +615,7 @@
             return "d is out of range";
         }
         double timeoutMs = Math.max(1,
-            call.timeoutMs() - ANSWER_MARGIN_MS
+            call.timeoutMs() - ANSWER_MARGIN_MS - queuedMs
                 - Math.min(loopDelayMs(nowMs), MAX_LOOP_DELAY_FRACTION * call.timeoutMs()));
         PendingRequest request = new PendingRequest(++lastId, slot, retained(command), call,
             requestClass(call.requestClass()), nowMs + timeoutMs, currentConfig.settings().allowed().maxAttempts());
