--- a/src/test/java/willowyoke/net/EdgeNodeTest.java
+++ b/src/test/java/willowyoke/net/EdgeNodeTest.java
@@ -889,6 +889,22 @@
         }
     }
 
+    /** A request behind a crowd of silent clients is answered in time: lost is what comes 0.5 s after that. */
+    @Test void crowdOfSilentClientsHoldsUpNoRequest() throws Exception {
+        start();
+        List<Peer.Connection> crowd = new ArrayList<>();
+        for (int i = 0; i < 400; i++) { // half of the 256 descriptors are for clients
+            crowd.add(client());
+        }
+        Peer.Connection client = client();
+        int timeoutMs = 900;
+        long sentNanos = System.nanoTime();
+        sendCall(client, "01", "refuse", timeoutMs);
+        assertEquals(List.of("-BUSY 1500"), client.readMessage());
+        long tookMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentNanos);
+        assertTrue(tookMs < timeoutMs + 500, "answered after " + tookMs + " ms");
+    }
+
     /** Of two signals in a row the file of the later one is in force, whichever thread reads faster. */
     @Test void reloadsTakeEffectInTheOrderOfTheirSignals() throws Exception {
         start();
