Close silent connections at once when there are too many

Cause: the node closed the connection that was idle for longest by a shutdown and 0.2 s of waiting, also where nothing had ever been written on it; with at most an eighth more connections than the limit it took 40 connections a second out of the accept queue, and real requests waited behind the crowd. Why it works: a connection without any command for 0.1 s is closed at once, oldest first, before one that has been used; nothing can be lost with it that was read. Where all are newer, the node looks again after 0.1 s. A first form without the 0.1 s closed the newest connection itself and failed closesLeastRecentlyUsedConnectionAtLimit.

--- a/src/main/java/willowyoke/net/ClientListener.java
+++ b/src/main/java/willowyoke/net/ClientListener.java
@@ -35,6 +35,8 @@
     /** How long the client has to close a connection after the node has shut down its output. */
     private static final double LINGER_MS = 200;
     private static final int MAX_COMMAND_PARTS = 16;
+    /** A connection that has been silent for this long since its accept may make room for others. */
+    private static final double SILENT_BEFORE_CLOSE_MS = 100;
     static final RedisMessage BUSY_ANSWER = new ErrorRedisMessage("BUSY");
     /** Bounds, in bytes, of the output of a slow client that is kept in this process. */
     private static final WriteBufferWaterMark WRITE_BUFFER_LIMITS =
@@ -52,6 +54,7 @@
     private AcceptControl acceptControl;
     /** The node ends: each connection is closed as soon as it has no unanswered commands. */
     private boolean closing;
+    private boolean roomCheckScheduled;
     /** Further requests are refused: the time until the process may be killed is for those that are open. */
     private boolean refusing;
     /** No connection is accepted any more; a bind that is still under way ends. */
@@ -96,19 +99,39 @@
     }
 
     /**
-     * Closes the connection that has been idle for longest when there are too many. When none is idle, no
-     * connection is accepted until one closes.
+     * Closes a connection when there are too many: the oldest that has carried no command, at once, or else
+     * the one that has been idle for longest, which gets the time to read its last answer. When there is
+     * none, no connection is accepted until one closes, or has been silent for long enough.
      */
     private void makeRoom() {
         if (connections.size() > maxConnections) {
-            for (Connection connection : connections) {
-                if (connection.slots.isEmpty() && !connection.discardingInput) {
-                    connection.endOutput();
-                    break;
-                }
+            closeLeastUsed();
+        }
+        boolean full = connections.size() >= maxIncludingClosing(maxConnections);
+        acceptControl.setFull(full);
+        if (full && !roomCheckScheduled) {
+            roomCheckScheduled = true;
+            node.schedule(SILENT_BEFORE_CLOSE_MS, () -> {
+                roomCheckScheduled = false;
+                makeRoom();
+            });
+        }
+    }
+
+    private void closeLeastUsed() {
+        Connection leastUsed = null;
+        for (Connection connection : connections) {
+            if (connection.isSilent()) {
+                connection.closeSilent();
+                return;
+            }
+            if (leastUsed == null && connection.slots.isEmpty() && !connection.discardingInput) {
+                leastUsed = connection;
             }
         }
-        acceptControl.setFull(connections.size() >= maxIncludingClosing(maxConnections));
+        if (leastUsed != null) {
+            leastUsed.endOutput();
+        }
     }
 
     /** The limit on open connections, with those that are being closed to make room: a close takes time. */
@@ -226,6 +249,7 @@
         private final SocketChannel channel;
         private final RespCodec.FrameTracker frameTracker;
         private final ArrayDeque<AnswerSlot> slots = new ArrayDeque<>();
+        private final double acceptedAtMs = node.nowMs();
         private boolean commandReceived;
         /** How long what is read may have waited in the accept queue; 0 after the first read. */
         private double queuedMs;
@@ -243,6 +267,19 @@
             return node;
         }
 
+        /** Whether no command has come for a while, and no error is being answered. */
+        private boolean isSilent() {
+            return !commandReceived && slots.isEmpty() && !discardingInput
+                && node.nowMs() - acceptedAtMs >= SILENT_BEFORE_CLOSE_MS;
+        }
+
+        /** Closes a connection on which nothing has been written. */
+        private void closeSilent() {
+            traceClose("silent, and there are too many connections");
+            discardInput();
+            channel.close();
+        }
+
         /** Writes the reason for a close to the trace, where that is on. */
         private void traceClose(String reason) {
             if (RequestTrace.ENABLED) {
