--- a/src/test/java/willowyoke/net/EdgeNodeTest.java
+++ b/src/test/java/willowyoke/net/EdgeNodeTest.java
@@ -905,6 +905,26 @@
         assertTrue(tookMs < timeoutMs + 500, "answered after " + tookMs + " ms");
     }
 
+    /** What a request waits in the accept queue, as there are too many connections, is the client's time. */
+    @Test void timeBehindTooManyConnectionsIsSubtracted() throws Exception {
+        maxSockets = 40;
+        start();
+        for (int i = 0; i < 21; i++) { // half of the descriptors are for clients, and one more for a close
+            sendCall(client(), "0" + i % 10, "hold", 800);
+        }
+        for (int i = 1; i <= 21; i++) {
+            expectArrival(i, "hold");
+        }
+        int timeoutMs = 3000;
+        long sentNanos = System.nanoTime();
+        sendCall(client(), "99", "read", timeoutMs);
+        List<String> command = serverConnection.readMessage();
+        double usedMs = (System.nanoTime() - sentNanos) / 1e6;
+        double toldMs = Double.parseDouble(command.get(3).replaceAll(".*\\bd=([0-9.]+).*", "$1"));
+        assertTrue(usedMs + toldMs <= timeoutMs + 150, "told " + toldMs + " ms after " + usedMs + " ms");
+        events.clear();
+    }
+
     /** Of two signals in a row the file of the later one is in force, whichever thread reads faster. */
     @Test void reloadsTakeEffectInTheOrderOfTheirSignals() throws Exception {
         start();
