--- a/src/test/java/willowyoke/net/EdgeNodeTest.java
+++ b/src/test/java/willowyoke/net/EdgeNodeTest.java
@@ -905,15 +905,27 @@
         assertTrue(tookMs < timeoutMs + 500, "answered after " + tookMs + " ms");
     }
 
+    /** Where all other connections are busy, a new one is not closed before its first request is read. */
+    @Test void newConnectionIsNotClosedUnread() throws Exception {
+        maxSockets = 40;
+        start();
+        for (int i = 1; i <= 20; i++) { // half of the descriptors are for clients
+            sendCall(client(), "0" + i % 10, "hold", 1500);
+            expectArrival(i, "hold");
+        }
+        Peer.Connection fresh = client();
+        sendCall(fresh, "99", "refuse", 1500);
+        assertEquals(List.of("-BUSY 1500"), fresh.readMessage());
+        events.clear();
+    }
+
     /** What a request waits in the accept queue, as there are too many connections, is the client's time. */
     @Test void timeBehindTooManyConnectionsIsSubtracted() throws Exception {
         maxSockets = 40;
         start();
         for (int i = 0; i < 21; i++) { // half of the descriptors are for clients, and one more for a close
-            sendCall(client(), "0" + i % 10, "hold", 800);
-        }
-        for (int i = 1; i <= 21; i++) {
-            expectArrival(i, "hold");
+            sendCall(client(), "0" + i % 10, "hold", 1500);
+            expectArrival(i + 1, "hold");
         }
         int timeoutMs = 3000;
         long sentNanos = System.nanoTime();
