Close no new connection to make room before its first request

Cause: the connection to close was the least recently used one without an open command, and a connection just accepted has none. Evidence: EdgeNodeTest#newConnectionIsNotClosedUnread, red before. Result: the tests on limits and crowds pass.

--- a/src/main/java/willowyoke/net/ClientListener.java
+++ b/src/main/java/willowyoke/net/ClientListener.java
@@ -125,7 +125,8 @@
                 connection.closeSilent();
                 return;
             }
-            if (leastUsed == null && connection.slots.isEmpty() && !connection.discardingInput) {
+            if (leastUsed == null && connection.commandReceived && connection.slots.isEmpty()
+                && !connection.discardingInput) {
                 leastUsed = connection;
             }
         }
