Count the time in the accept queue of a full node as the client's

Callers saw: servers that were told more time than the client had left, while a crowd filled an edge node. Cause: the time that a connection waits in the queue was noted where accepts failed, not where the node accepted none as it was full. Why it works: AcceptControl notes every pause of accepting, whatever its reason, until a poll finds the queue empty. Result: that test, the accept tests of EdgeSystemCallTest and the tests on limits pass.

--- a/src/main/java/willowyoke/net/AcceptControl.java
+++ b/src/main/java/willowyoke/net/AcceptControl.java
@@ -22,15 +22,15 @@
     private boolean full;
     /** The last accept failed, and the next one is not due yet. */
     private boolean failed;
-    /** When the first of the failures was since which connections may wait in the queue; 0 without any. */
-    private double failingSinceMs;
+    /** Since when connections may wait in the queue, as none was accepted then; 0 where none waits. */
+    private double pausedSinceMs;
     private int acceptedCount;
 
     AcceptControl(EdgeNode node) {
         this.node = node;
     }
 
-    /** Returns how long an accepted connection may have waited because accepts failed. */
+    /** Returns how long an accepted connection may have waited because none was accepted. */
     static double queuedMs(Channel accepted) {
         Double queuedMs = accepted.attr(QUEUED_MS).get();
         return queuedMs == null ? 0 : queuedMs;
@@ -48,7 +48,7 @@
 
     /** Whether accept failed a moment ago, so that connections may wait in the queue. */
     boolean hasFailed() {
-        return failingSinceMs > 0;
+        return pausedSinceMs > 0 && !full;
     }
 
     /** Closes the listening socket. */
@@ -58,17 +58,14 @@
 
     @Override public void channelRead(ChannelHandlerContext ctx, Object accepted) {
         acceptedCount++;
-        if (failingSinceMs > 0) {
-            ((Channel) accepted).attr(QUEUED_MS).set(node.nowMs() - failingSinceMs);
+        if (pausedSinceMs > 0) {
+            ((Channel) accepted).attr(QUEUED_MS).set(node.nowMs() - pausedSinceMs);
         }
         ctx.fireChannelRead(accepted);
     }
 
     @Override public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         node.countLocalFailure("accept");
-        if (failingSinceMs == 0) {
-            failingSinceMs = node.nowMs();
-        }
         if (!failed) {
             failed = true;
             update();
@@ -76,31 +73,37 @@
         }
     }
 
-    /** Accepts again. The socket is edge-triggered: only off and on again shows what is queued already. */
     private void retry() {
         failed = false;
         update();
-        int acceptedBefore = acceptedCount;
-        node.runAfterNextPoll(() -> endFailures(acceptedBefore));
-    }
-
-    /** Ends the time of failures once a poll has found no connection in the queue. */
-    private void endFailures(int acceptedBefore) {
-        if (failed) {
-            return;
-        }
-        if (acceptedCount == acceptedBefore) {
-            failingSinceMs = 0;
-        } else {
-            int acceptedNow = acceptedCount;
-            node.runAfterNextPoll(() -> endFailures(acceptedNow));
-        }
     }
 
+    /** Sets the switch. The socket is edge-triggered: only off and on again shows what is queued already. */
     private void update() {
         boolean accept = !full && !failed;
+        if (!accept && pausedSinceMs == 0) {
+            pausedSinceMs = node.nowMs();
+        }
         if (listener.config().isAutoRead() != accept) {
             listener.config().setAutoRead(accept);
+            if (accept) {
+                awaitEmptyQueue();
+            }
         }
     }
+
+    /** Ends the pause once a poll has found no connection in the queue. */
+    private void awaitEmptyQueue() {
+        int acceptedBefore = acceptedCount;
+        node.runAfterNextPoll(() -> {
+            if (full || failed) {
+                return; // the next pause has begun
+            }
+            if (acceptedCount == acceptedBefore) {
+                pausedSinceMs = 0;
+            } else {
+                awaitEmptyQueue();
+            }
+        });
+    }
 }
