--- a/fleet/lab/src/main/java/barleyfall/lab/run/EdgeProcesses.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/run/EdgeProcesses.java
@@ -33,6 +33,7 @@
 final class EdgeProcesses implements AutoCloseable {
     private static final int READY_TIMEOUT_SECONDS = 30;
     private static final int CONTROL_TIMEOUT_MS = 3000;
+    private static final long PROCESS_END_MS = 1000;
     private static final double TERM_GRACE_MS = 2000;
     private static final Set<String> SYSTEM_CALL_FAULT_KINDS = Set.of("system-calls", "clock-step");
     /** What calls on files can fail: those of the shared folder, and the configuration. */
@@ -174,22 +175,45 @@
         }
     }
 
-    /** Sends an operator command to the control address of every running edge node; each has to succeed. */
+    /**
+     * Sends an operator command to the control address of every running edge node; each has to succeed,
+     * unless its process ends in that moment by another fault.
+     */
     void sendCommandToAll(String command, String server) throws IOException {
         for (EdgeProcess edge : processes) {
-            if (edge.isAlive()) {
-                String answer = sendCommand(edge.number(), command + " " + server);
-                if (answer.equals("SUCCESS")) {
-                    trace.accept(new Event.DiscoveryUpdate(clock.nowMs(), edge.number(), server,
-                        command.equals("DETACH") ? "out by hand" : "active", -1e12, 0));
-                } else {
-                    throw new IOException("n" + edge.number() + " answered '" + answer + "' to " + command
-                        + " " + server);
+            Process process = edge.process();
+            if (!edge.isAlive()) {
+                continue;
+            }
+            try {
+                sendCommand(edge.number(), command, server);
+            } catch (IOException e) {
+                if (!endsNow(process)) {
+                    throw e;
                 }
             }
         }
     }
 
+    private void sendCommand(int number, String command, String server) throws IOException {
+        String answer = sendCommand(number, command + " " + server);
+        if (!answer.equals("SUCCESS")) {
+            throw new IOException("n" + number + " answered '" + answer + "' to " + command + " " + server);
+        }
+        trace.accept(new Event.DiscoveryUpdate(clock.nowMs(), number, server,
+            command.equals("DETACH") ? "out by hand" : "active", -1e12, 0));
+    }
+
+    /** Whether a process ends: the kernel closes its sockets some time before its end shows. */
+    private static boolean endsNow(Process process) {
+        try {
+            return process.waitFor(PROCESS_END_MS, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+
     private String sendCommand(int number, String line) throws IOException {
         try (Socket s = new Socket()) {
             s.connect(addresses.control(number), CONTROL_TIMEOUT_MS);
