Tell a refused connect by its error number, not by its text

Need: where the machine's language is not English, the text of a refusal differs, and a server that refuses would count as a failure of this machine: never ejected. Change: the number in Netty's message decides, the English texts stay for the transport that tells no number.

--- a/src/main/java/willowyoke/net/Connector.java
+++ b/src/main/java/willowyoke/net/Connector.java
@@ -13,7 +13,10 @@
 import java.net.NoRouteToHostException;
 import java.util.List;
 import java.util.Locale;
+import java.util.Set;
 import java.util.function.Consumer;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /**
  * Opens connections, and reports each outcome on the event loop. Netty itself reports a socket that cannot be
@@ -21,7 +24,11 @@
  * beside the event loop.
  */
 final class Connector {
-    /** The texts of ECONNREFUSED, ECONNRESET and ETIMEDOUT, in lower case: Netty tells no error numbers. */
+    /** How Netty's epoll transport tells the error number of a failed connect. */
+    private static final Pattern ERROR_NUMBER = Pattern.compile("error\\(-(\\d+)\\)");
+    /** ECONNRESET, ETIMEDOUT and ECONNREFUSED on Linux. */
+    private static final Set<Integer> REMOTE_ERRORS = Set.of(104, 110, 111);
+    /** The texts of these, in lower case, for the other transport, which tells no numbers. */
     private static final List<String> REMOTE_REASONS = List.of("refused", "reset", "timed out");
 
     private final EventLoopGroup eventLoopGroup;
@@ -52,6 +59,10 @@
             return true;
         }
         String message = String.valueOf(cause.getMessage()).toLowerCase(Locale.ROOT);
+        Matcher number = ERROR_NUMBER.matcher(message);
+        if (number.find()) {
+            return !REMOTE_ERRORS.contains(Integer.parseInt(number.group(1)));
+        }
         return REMOTE_REASONS.stream().noneMatch(message::contains);
     }
 
