Count connections that the node closes over an open request

Change: each close that the client has not caused checks first that no request on it is open, and counts answered_before_close otherwise.

--- a/src/main/java/willowyoke/net/ClientListener.java
+++ b/src/main/java/willowyoke/net/ClientListener.java
@@ -276,11 +276,20 @@
 
         /** Closes a connection on which nothing has been written. */
         private void closeSilent() {
+            checkAnswered();
             traceClose("silent, and there are too many connections");
             discardInput();
             channel.close();
         }
 
+        /** To be called before a close that the client has not caused. */
+        private void checkAnswered() {
+            for (AnswerSlot slot : slots) {
+                node.invariants().check(Invariant.ANSWERED_BEFORE_CLOSE, slot.request == null,
+                    () -> "request " + slot.request.call.requestId() + " is open");
+            }
+        }
+
         /** Writes the reason for a close to the trace, where that is on. */
         private void traceClose(String reason) {
             if (RequestTrace.ENABLED) {
@@ -406,6 +415,7 @@
          */
         private void endOutput() {
             if (!outputEnded) {
+                checkAnswered();
                 traceClose(closing ? "the node ends" : "idle, silent or malformed");
                 outputEnded = true;
                 discardInput();
@@ -503,6 +513,7 @@
             }
             if (!(cause instanceof java.io.IOException)) {
                 node.logError("client connection", cause);
+                checkAnswered();
             }
             traceClose(cause.toString());
             channel.close();
