--- a/fleet/lab/src/main/java/barleyfall/lab/run/EdgeProcesses.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/run/EdgeProcesses.java
@@ -85,7 +85,7 @@
         return processes.get(number);
     }
 
-    /** Starts an edge node for the first time or again; does nothing where it runs, by another fault's end. */
+    /** Starts an edge node for the first time or again; does nothing where it runs already. */
     void start(int number) throws IOException {
         synchronized (processes.get(number)) {
             if (!processes.get(number).isAlive()) {
--- a/fleet/lab/src/main/java/barleyfall/lab/run/SoakExperiment.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/run/SoakExperiment.java
@@ -11,8 +11,8 @@
 
 /**
  * Draws experiments of random, overlapping faults: failing system calls, restarts, reloads, kills, clock
- * steps, crowds of idle clients, and faults of links, flag servers, the list service and the counter. The same
- * seed and size give the same experiment.
+ * steps, crowds of idle clients, and faults of links, flag servers and the counter. The same seed and size
+ * give the same experiment.
  */
 public final class SoakExperiment {
     private static final int LENGTH_MS = 12_000;
@@ -144,7 +144,8 @@
             percentByCall.put(call, percent);
         }
         String rules = percentByCall.entrySet().stream()
-            .map(rule -> "\"" + rule.getKey() + " " + rule.getValue() + "%\"").collect(Collectors.joining(", "));
+            .map(rule -> "\"" + rule.getKey() + " " + rule.getValue() + "%\"")
+            .collect(Collectors.joining(", "));
         addFault("system-calls", "target = \"" + percentOfEdges() + "\"", "calls = [" + rules + "]");
     }
 
--- a/fleet/lab/src/main/java/barleyfall/lab/standin/EdgeConnectionPool.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/standin/EdgeConnectionPool.java
@@ -348,7 +348,8 @@
             ctx.writeAndFlush(Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII));
             double leaveAfterMs = front.leaveAfterMs(clientTry, remainingMs);
             if (leaveAfterMs >= 0) {
-                loop.schedule(() -> leave(clientTry), (long) (leaveAfterMs * NANOS_PER_MS), TimeUnit.NANOSECONDS);
+                loop.schedule(() -> leave(clientTry), (long) (leaveAfterMs * NANOS_PER_MS),
+                    TimeUnit.NANOSECONDS);
             }
             loop.schedule(() -> giveUp(clientTry, "no answer half a second after its time"),
                 (long) ((remainingMs + LATE_ANSWER_WAIT_MS) * NANOS_PER_MS), TimeUnit.NANOSECONDS);
--- a/fleet/lab/src/main/java/barleyfall/lab/standin/Front.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/standin/Front.java
@@ -123,7 +123,8 @@
      */
     double leaveAfterMs(ClientTry clientTry, double remainingMs) {
         SplittableRandom random = new SplittableRandom(clientTry.id());
-        return random.nextDouble() < experiment.load().leaveFraction() ? random.nextDouble() * remainingMs : -1;
+        boolean leaves = random.nextDouble() < experiment.load().leaveFraction();
+        return leaves ? random.nextDouble() * remainingMs : -1;
     }
 
     /** Returns how late first tries were handled, in microseconds. */
--- a/fleet/lab/src/test/java/barleyfall/lab/edge/EdgeSystemCallTest.java
+++ b/fleet/lab/src/test/java/barleyfall/lab/edge/EdgeSystemCallTest.java
@@ -79,7 +79,8 @@
             edge.faults.end(noAccept);
             String answer = client.answer();
             long tookMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentNanos);
-            assertTrue(tookMs < timeoutMs + LATE_ANSWER_MS, effect + ": " + answer + " after " + tookMs + " ms");
+            assertTrue(tookMs < timeoutMs + LATE_ANSWER_MS,
+                effect + ": " + answer + " after " + tookMs + " ms");
             assertEquals(EdgeFixture.valueOf(id), answer, effect.toString());
         }
         assertEquals(List.of(), edge.violations());
@@ -240,7 +241,8 @@
         edge.faults.begin(noAccept);
         EdgeFixture.Client client = edge.client();
         client.send("read", 1, DEADLINE_MS);
-        EdgeFixture.await("an accept failed", () -> edge.faults.injectedCount(Call.ACCEPT, Effect.ENFILE) > 0);
+        EdgeFixture.await("an accept failed",
+            () -> edge.faults.injectedCount(Call.ACCEPT, Effect.ENFILE) > 0);
         edge.process().term();
         // far more than the 0.6 s in which the node listens on
         EdgeFixture.await("accept went on failing, or the node has ended",
--- a/fleet/lab/src/test/java/barleyfall/lab/process/SystemCallFaultsTest.java
+++ b/fleet/lab/src/test/java/barleyfall/lab/process/SystemCallFaultsTest.java
@@ -85,7 +85,8 @@
         assertEquals(new Rule(Call.ACCEPT, Effect.ENFILE, 0.205), Rule.parse(" accept  enfile 20.5%"));
         for (String wrong : List.of("accept ENFILE", "accept ENFILE 120%", "dial ENFILE 1%",
             "accept ENOENT 1%")) {
-            String message = assertThrows(IllegalArgumentException.class, () -> Rule.parse(wrong)).getMessage();
+            String message =
+                assertThrows(IllegalArgumentException.class, () -> Rule.parse(wrong)).getMessage();
             assertTrue(message.contains(wrong), message);
         }
     }
--- a/fleet/lab/src/test/java/barleyfall/lab/run/SoakTest.java
+++ b/fleet/lab/src/test/java/barleyfall/lab/run/SoakTest.java
@@ -14,7 +14,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** Random overlapping faults over a dozen real edge nodes break no rule; seed 3 has a crowd of idle clients. */
+/** Random overlapping faults over a dozen real edge nodes break no rule; seed 3 has a crowd of clients. */
 @Timeout(120)
 class SoakTest {
     private static final int EDGES = 12;
--- a/src/main/java/willowyoke/net/CallCommand.java
+++ b/src/main/java/willowyoke/net/CallCommand.java
@@ -9,8 +9,9 @@
 import java.util.List;
 
 /**
- * A client's CALL.GET or CALL.POST command, parsed: the request's id, the customer, the pairs of names and values that the
- * decision module uses, and the text of the pairs before and after the value of the timeout (pair d).
+ * A client's CALL.GET or CALL.POST command, parsed: the request's id, the customer, the pairs of names and
+ * values that the decision module uses, and the text of the pairs before and after the value of the timeout
+ * (pair d).
  */
 record CallCommand(String requestId, String customer, String requestClass, String plan, double timeoutMs,
     int units, int customerGatewayCount, int firstGateway, boolean clientRetry, String beforeTimeout,
@@ -81,8 +82,8 @@
             || firstGateway < 0) {
             throw new IllegalArgumentException("c, t and d are needed");
         }
-        return new CallCommand(requestId, customer, requestClass, plan, timeoutMs, units, customerGatewayCount,
-            firstGateway, clientRetry, pairs.substring(0, timeoutStart), pairs.substring(timeoutEnd));
+        return new CallCommand(requestId, customer, requestClass, plan, timeoutMs, units,
+            customerGatewayCount, firstGateway, clientRetry, pairs.substring(0, timeoutStart), pairs.substring(timeoutEnd));
     }
 
     private static boolean isHex(String text) {
--- a/src/main/java/willowyoke/net/ClientListener.java
+++ b/src/main/java/willowyoke/net/ClientListener.java
@@ -219,8 +219,8 @@
 
         /** Sets the answer, which is written after those before it. */
         void answer(RedisMessage message) {
-            connection.node().invariants().check(Invariant.SINGLE_ANSWER, answer == null && flowControl == null,
-                () -> "a second answer in one place");
+            connection.node().invariants().check(Invariant.SINGLE_ANSWER,
+                answer == null && flowControl == null, () -> "a second answer in one place");
             answer = message;
             connection.writeReadyAnswers();
         }
--- a/src/main/java/willowyoke/net/Connector.java
+++ b/src/main/java/willowyoke/net/Connector.java
@@ -88,8 +88,8 @@
      * @param initializer adds the handlers to the channel
      * @param failed called with the cause
      */
-    Connect connect(InetSocketAddress address, Consumer<SocketChannel> initializer, Consumer<Channel> connected,
-        Consumer<Throwable> failed) {
+    Connect connect(InetSocketAddress address, Consumer<SocketChannel> initializer,
+        Consumer<Channel> connected, Consumer<Throwable> failed) {
         ChannelFuture future = bootstrap.clone().handler(new ChannelInitializer<SocketChannel>() {
             @Override protected void initChannel(SocketChannel channel) {
                 initializer.accept(channel);
--- a/src/main/java/willowyoke/net/DiscoveryClient.java
+++ b/src/main/java/willowyoke/net/DiscoveryClient.java
@@ -266,8 +266,8 @@
         };
         String address = host.path("dial").asText("");
         String id = host.path("host").asText();
-        return new Member(new Gateway.Server(id, host.path("block").asInt(), host.path("site").asText(), state,
-            host.path("class").asText(), startedAtMs(id, host.path("born_ms").asDouble()),
+        return new Member(new Gateway.Server(id, host.path("block").asInt(), host.path("site").asText(),
+            state, host.path("class").asText(), startedAtMs(id, host.path("born_ms").asDouble()),
             host.path("share").asDouble(1)),
             state == Gateway.ServerState.GONE && address.isEmpty() ? null : Config.parseAddress(address));
     }
--- a/src/main/java/willowyoke/net/EdgeNode.java
+++ b/src/main/java/willowyoke/net/EdgeNode.java
@@ -618,7 +618,8 @@
             call.timeoutMs() - ANSWER_MARGIN_MS - queuedMs
                 - Math.min(loopDelayMs(nowMs), MAX_LOOP_DELAY_FRACTION * call.timeoutMs()));
         PendingRequest request = new PendingRequest(++lastId, slot, retained(command), call,
-            requestClass(call.requestClass()), nowMs + timeoutMs, currentConfig.settings().allowed().maxAttempts());
+            requestClass(call.requestClass()), nowMs + timeoutMs,
+            currentConfig.settings().allowed().maxAttempts());
         slot.request = request;
         trace(request, "accepted", call.requestClass());
         heldBytes += request.commandBytes;
--- a/src/main/java/willowyoke/net/Invariants.java
+++ b/src/main/java/willowyoke/net/Invariants.java
@@ -20,7 +20,7 @@
         SINGLE_ANSWER,
         /** A client's connection is not closed by this node while a request on it has no answer. */
         ANSWERED_BEFORE_CLOSE,
-        /** Nothing is sent for a request that has its answer, whose client has gone, or whose time is over. */
+        /** Nothing is sent for a request that has its answer, or whose client or time has gone. */
         OPEN_WHEN_SENT,
         /** A request that may have run is sent again only as its class allows. */
         ALLOWED_REPEAT,
--- a/src/main/java/willowyoke/net/RequestTrace.java
+++ b/src/main/java/willowyoke/net/RequestTrace.java
@@ -21,7 +21,8 @@
      */
     static void log(double nowMs, String subject, String event, Object detail) {
         if (ENABLED) {
-            System.err.println(String.format(Locale.ROOT, "trace %.3f %s %s %s", nowMs, subject, event, detail));
+            System.err.println(
+                String.format(Locale.ROOT, "trace %.3f %s %s %s", nowMs, subject, event, detail));
         }
     }
 }
--- a/src/test/java/willowyoke/net/ConnectorTest.java
+++ b/src/test/java/willowyoke/net/ConnectorTest.java
@@ -13,8 +13,8 @@
 class ConnectorTest {
     @Test void failuresOfTheOtherSideAreNoLocalOnes() {
         assertFalse(Connector.isLocalFailure(new ConnectTimeoutException("after 250 ms")));
-        assertFalse(Connector.isLocalFailure(new ConnectException("finishConnect(..) failed with error(-111): "
-            + "Verbindungsaufbau abgelehnt")));
+        assertFalse(Connector.isLocalFailure(
+            new ConnectException("finishConnect(..) failed with error(-111): Verbindungsaufbau abgelehnt")));
         assertFalse(Connector.isLocalFailure(new ConnectException("connect(..) failed with error(-104): x")));
         assertFalse(Connector.isLocalFailure(new ConnectException("Connection refused")));
     }
--- a/src/test/java/willowyoke/net/EdgeNodeTest.java
+++ b/src/test/java/willowyoke/net/EdgeNodeTest.java
@@ -890,7 +890,7 @@
         }
     }
 
-    /** A request behind a crowd of silent clients is answered in time: lost is what comes 0.5 s after that. */
+    /** A request behind a crowd of silent clients is answered in time; 0.5 s later it is lost. */
     @Test void crowdOfSilentClientsHoldsUpNoRequest() throws Exception {
         start();
         List<Peer.Connection> crowd = new ArrayList<>();
