--- a/src/main/java/willowyoke/net/CallCommand.java
+++ b/src/main/java/willowyoke/net/CallCommand.java
@@ -83,7 +83,8 @@
             throw new IllegalArgumentException("c, t and d are needed");
         }
         return new CallCommand(requestId, customer, requestClass, plan, timeoutMs, units,
-            customerGatewayCount, firstGateway, clientRetry, pairs.substring(0, timeoutStart), pairs.substring(timeoutEnd));
+            customerGatewayCount, firstGateway, clientRetry, pairs.substring(0, timeoutStart),
+            pairs.substring(timeoutEnd));
     }
 
     private static boolean isHex(String text) {
