Hold the event loop in the test of a bind that is interrupted

Traced: since the test uses the node's own event loop, which already runs, bind could finish before sync looked at the interrupt. Change: the loop is held until the interrupt has been seen, which forces the order the test is about. Result: passes; it asserts what it did.

--- a/src/test/java/willowyoke/net/EdgeNodeTest.java
+++ b/src/test/java/willowyoke/net/EdgeNodeTest.java
@@ -18,6 +18,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -1145,9 +1146,12 @@
             address = new InetSocketAddress("127.0.0.1", free.getLocalPort());
         }
         EventLoopGroup group = node.eventLoopGroup();
+        CountDownLatch interrupted = new CountDownLatch(1);
+        group.submit(() -> interrupted.await(10, TimeUnit.SECONDS)); // or bind might return first
         Thread.currentThread().interrupt();
         assertThrows(InterruptedException.class,
             () -> new ClientListener(node, 8).bind(group, address, false));
+        interrupted.countDown();
         group.submit(() -> { }).sync(); // waits for the bind on the event loop
         group.submit(() -> { }).sync();
         try (Peer.Connection connection = Peer.Connection.connect(address.getPort())) {
