--- a/src/test/java/willowyoke/net/RaceConditionTest.java
+++ b/src/test/java/willowyoke/net/RaceConditionTest.java
@@ -429,30 +429,23 @@
 
     /** A close must be seen, too, when the pending requests take so much memory that no more are accepted. */
     @Test void closeIsSeenWhileMemoryIsFull() throws Exception {
-        start(flagServer.address());
-        Peer.Connection client = client();
-        String body = "$65536\r\n" + "x".repeat(65_536) + "\r\n";
-        Thread writing = new Thread(() -> {
-            try {
-                for (int i = 0; i < 250; i++) { // 16 MB, of which 8 are accepted
-                    client.write(callCommand(i, "hold", 60_000).replace("*4", "*5").replace("GET", "PUT")
-                        .replace("$8\r\nCALL.PUT", "$9\r\nCALL.POST") + body);
-                }
-                client.close();
-            } catch (IOException e) {
-                events.add("writing: " + e);
-            }
-        });
-        writing.start();
-        for (int i = 1; i <= 128; i++) {
-            expectEvent("arrived " + i);
-        }
-        writing.join();
-        expectCancelled(128);
+        endIsSeenWhileMemoryIsFull(Peer.Connection::close);
     }
 
     /** The same for a client whose end is a reset, with the requests still unread behind it. */
     @Test void resetIsSeenWhileMemoryIsFull() throws Exception {
+        endIsSeenWhileMemoryIsFull(client -> {
+            client.socket.setSoLinger(true, 0);
+            client.close();
+        });
+    }
+
+    /** Ends a client's connection. */
+    private interface ClientEnd {
+        void end(Peer.Connection client) throws IOException;
+    }
+
+    private void endIsSeenWhileMemoryIsFull(ClientEnd clientEnd) throws Exception {
         start(flagServer.address());
         Peer.Connection client = client();
         String body = "$65536\r\n" + "x".repeat(65_536) + "\r\n";
@@ -462,8 +455,7 @@
                     client.write(callCommand(i, "hold", 60_000).replace("*4", "*5").replace("GET", "PUT")
                         .replace("$8\r\nCALL.PUT", "$9\r\nCALL.POST") + body);
                 }
-                client.socket.setSoLinger(true, 0);
-                client.close();
+                clientEnd.end(client);
             } catch (IOException e) {
                 events.add("writing: " + e);
             }
