Wait in a counter test until the node has seen its new connection

Traced by reading, not reproduced: the test goes on when the kernel has the connection, and a request that the node reads before the end of its connect is counted as NO_CONNECTION, so no call is made. Change: two turns of the event loop lie between, as in acceptsClientBeforeBindReturns. Result: passes alone.

--- a/src/test/java/willowyoke/net/EdgeNodeTest.java
+++ b/src/test/java/willowyoke/net/EdgeNodeTest.java
@@ -563,6 +563,7 @@
             expectEvent("counted 77 RESET 0.0");
             assertTrue(connection.reachesEnd(), broken);
             awaitFirstCall(counter.accept(), called);
+            awaitNextPoll();
         }
         sendCall(client, "99", "count", 20_000);
         expectArrival(id + 1, "count");
@@ -571,6 +572,13 @@
         expectEvent("counted 77 OK 50.0");
     }
 
+    /** Waits until the node has seen what its sockets have by now, for example that a connect is done. */
+    private void awaitNextPoll() throws InterruptedException {
+        for (int i = 0; i < 2; i++) { // the first may still run before the poll
+            node.eventLoopGroup().submit(() -> { }).sync();
+        }
+    }
+
     /** The counter serves calls in order, so an answer on one connection shows that another one is dead. */
     @Test void closesSilentCounterConnectionOnceLaterCallsAreAnswered() throws Exception {
         counterTimeoutMs = 200;
