--- a/fleet/lab/src/main/java/barleyfall/lab/edge/UpstreamConnections.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/edge/UpstreamConnections.java
@@ -6,6 +6,7 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -15,6 +16,8 @@
  * same one at a time.
  */
 final class UpstreamConnections implements AutoCloseable {
+    /** Place of the name=value pairs in a request; pair d is the time that the flag server is told. */
+    private static final int TERMS_INDEX = 3;
     private static final int CONNECT_TIMEOUT_MS = 250;
 
     /** An open connection. */
@@ -28,7 +31,10 @@
      */
     String call(String server, List<String> arguments, double timeoutMs) {
         StringBuilder command = new StringBuilder("*" + arguments.size() + "\r\n");
-        arguments.forEach(word -> command.append('$').append(word.length()).append("\r\n").append(word)
+        List<String> words = new ArrayList<>(arguments);
+        words.set(TERMS_INDEX, ("," + arguments.get(TERMS_INDEX))
+            .replaceFirst(",d=[0-9.]+", ",d=" + (long) Math.max(1, timeoutMs)).substring(1));
+        words.forEach(word -> command.append('$').append(word.length()).append("\r\n").append(word)
             .append("\r\n"));
         Connection connection = null;
         try {
