Count requests that cross the end of a connection, and take those of 50 ms for lost

Change: the time runs from when the first bytes are in the socket, past the lab's own queue, and the bound is the 50 ms by which the protocol lengthens every time limit on sockets; each crossing is an event with its age, and a result has their number and the longest. Stricter than before.

--- a/fleet/lab/src/main/java/barleyfall/lab/result/ResultBuilder.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/result/ResultBuilder.java
@@ -5,6 +5,7 @@
 import barleyfall.lab.rules.Violation;
 import barleyfall.lab.seen.Event;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -57,6 +58,7 @@
         }
         allFigures.put("wishes-per-s",
             figures.outcomes.between(0, experiment.lengthMs()).size() * SECOND_MS / experiment.lengthMs());
+        allFigures.putAll(crossedEnds());
         allFigures.putAll(extraFigures);
         return new Result(experiment.title(), experiment.file(), seed, plan.hash(), build,
             experiment.lengthMs(), unsoundReasons.isEmpty(), unsoundReasons, allFigures,
@@ -65,6 +67,14 @@
             .toList());
     }
 
+    /** How many requests crossed the end of their connection, and for how long they lay unread at the most. */
+    private Map<String, Double> crossedEnds() {
+        double[] unreadMs = trace.stream().filter(Event.RequestCrossedEnd.class::isInstance)
+            .mapToDouble(event -> ((Event.RequestCrossedEnd) event).unreadMs()).toArray();
+        return Map.of("crossed-ends", (double) unreadMs.length,
+            "crossed-end-unread-max-ms", Arrays.stream(unreadMs).max().orElse(0));
+    }
+
     private List<Result.CheckedExpectation> expectations() {
         return experiment.expectations().stream().map(expectation -> {
             double figure = figures.compute(expectation.measure(), expectation.subject(),
--- a/fleet/lab/src/main/java/barleyfall/lab/seen/Event.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/seen/Event.java
@@ -18,6 +18,7 @@
     @JsonSubTypes.Type(value = Event.ResponseMissing.class, name = "unanswered"),
     @JsonSubTypes.Type(value = Event.RequestNotSent.class, name = "not-taken"),
     @JsonSubTypes.Type(value = Event.ClientLeft.class, name = "left"),
+    @JsonSubTypes.Type(value = Event.RequestCrossedEnd.class, name = "crossed-end"),
     @JsonSubTypes.Type(value = Event.InvariantViolated.class, name = "invariant"),
     @JsonSubTypes.Type(value = Event.UnexpectedResponse.class, name = "unasked"),
     @JsonSubTypes.Type(value = Event.AttemptReceived.class, name = "attempt"),
@@ -77,6 +78,14 @@
     /** A client closed its connection before its try was answered. */
     record ClientLeft(@JsonProperty("at") double atMs, long id, int edge) implements Event { }
 
+    /**
+     * A try crossed the edge node's end of its connection, and is sent once more on a new one.
+     *
+     * @param unreadMs how long before the end its first bytes were in the socket
+     */
+    record RequestCrossedEnd(@JsonProperty("at") double atMs, long id, int edge,
+        @JsonProperty("unread") double unreadMs) implements Event { }
+
     /** An edge node's own run-time check failed; its log has the text. */
     record InvariantViolated(@JsonProperty("at") double atMs, int edge, String text) implements Event { }
 
--- a/fleet/lab/src/main/java/barleyfall/lab/standin/RequestConnection.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/standin/RequestConnection.java
@@ -19,8 +19,11 @@
     private static final double NANOS_PER_MS = 1e6;
     /** How long an answer is waited for after the client's deadline; a later one counts as missing. */
     private static final double LATE_ANSWER_WAIT_MS = 500;
-    /** What was begun this long before the connection ended has been read: a node is held up no longer. */
-    private static final double MAX_CROSSING_MS = 150;
+    /**
+     * What was in the edge node's socket this long before the connection ended counts as taken: every time limit
+     * of the protocol is longer by this much.
+     */
+    static final double MAX_CROSSING_MS = 50;
     private static final int MAX_OPEN = 6;
 
     /** A command that has no answer yet; a PING where it belongs to no try. */
@@ -28,6 +31,8 @@
         final ClientTry clientTry;
         final RequestText text;
         double begunAtMs;
+        /** When its first bytes went into the socket; infinite before that. */
+        double firstByteAtMs = Double.POSITIVE_INFINITY;
         /** Until when an answer is waited for, once it is the next to be answered. */
         double dueMs;
         boolean sent;
@@ -130,7 +135,7 @@
         writing = piece < style.pausesMs().length;
         if (writing) {
             int length = Math.max(1, Math.min(rest.length() - 1, (int) (rest.length() * style.cut())));
-            flush(rest.substring(0, length));
+            flush(command, rest.substring(0, length));
             pool.loop().schedule(() -> writePieces(command, style, rest.substring(length), piece + 1),
                 (long) (style.pausesMs()[piece] * NANOS_PER_MS), TimeUnit.NANOSECONDS);
             return;
@@ -141,12 +146,17 @@
             last.append(RequestText.PING);
             add(new OpenCommand(null, null));
         }
-        flush(last.toString());
+        flush(command, last.toString());
         scheduleEnds(command);
     }
 
-    private void flush(String text) {
-        ctx.writeAndFlush(Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII));
+    /** Writes bytes of a command; they go into the socket once the link has passed them on. */
+    private void flush(OpenCommand command, String text) {
+        ctx.writeAndFlush(Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII)).addListener(written -> {
+            if (written.isSuccess()) {
+                command.firstByteAtMs = Math.min(command.firstByteAtMs, front.clock().nowMs());
+            }
+        });
     }
 
     private void recordSent(OpenCommand command) {
@@ -307,8 +317,11 @@
     /** Sends a command once more that has crossed the end of the connection; any other one is lost. */
     private void commandUnanswered(OpenCommand command, double endedAtMs) {
         ClientTry clientTry = command.clientTry;
-        boolean crossed = hasAnswered && !wasReset && command.begunAtMs > endedAtMs - MAX_CROSSING_MS;
+        double unreadMs = Math.max(0, endedAtMs - command.firstByteAtMs);
+        boolean crossed = hasAnswered && !wasReset && unreadMs < MAX_CROSSING_MS;
         if (crossed && !clientTry.resent && !clientTry.expired) {
+            front.trace().accept(
+                new Event.RequestCrossedEnd(front.clock().nowMs(), clientTry.id(), edge, unreadMs));
             clientTry.resent = true;
             clientTry.written = false;
             pool.sendOnNewConnection(clientTry);
@@ -324,7 +337,7 @@
         double nowMs = front.clock().nowMs();
         front.trace().accept(new Event.ResponseMissing(nowMs, clientTry.id(), edge,
             wasReset ? "the connection was reset" : String.format("the connection ended %.0f ms after its"
-                + " first byte, behind %s answer", nowMs - command.begunAtMs, hasAnswered ? "an" : "no")));
+                + " first byte, behind %s answer", unreadMs, hasAnswered ? "an" : "no")));
         if (!clientTry.expired) {
             front.tryFinished(clientTry, false, false, 0);
         }
