--- a/src/test/java/willowyoke/net/ConnectionEndTest.java
+++ b/src/test/java/willowyoke/net/ConnectionEndTest.java
@@ -23,6 +23,8 @@
     private static final long KILL_AFTER_MS = 2000 + 700;
     /** Within this a peer that stops inside a command is owed an error or a close. */
     private static final long IMPROPER_PEER_MS = 3000;
+    /** An attempt that begins later than this after its client's close is lost. */
+    private static final long MAX_BEGIN_AFTER_CLOSE_MS = 100;
     private static final int HALF = 40;
     private static final int LONG_VALUE = 200_000;
 
@@ -399,4 +401,62 @@
         server.writeValue("one");
         assertEquals(List.of("one"), client.readMessage());
     }
+
+    /** A drain ended an idle connection over a request that had come since the poll before. */
+    @Test void requestThatComesBetweenPollAndEndIsAnswered() throws Exception {
+        start(flagServer.address());
+        Peer.Connection client = usedClient();
+        blockLoopInDrain(450, true);
+        drain();
+        assertTrue(loopBlocked.await(10, TimeUnit.SECONDS));
+        client.write(callCommand(1, "refuse", 20_000));
+        releaseLoop.countDown();
+        assertEquals(BUSY, client.readMessage());
+    }
+
+    /** A drain ended a connection some time after its last answer, over the client's next request. */
+    @Test void lastAnswerOfDrainComesWithTheEnd() throws Exception {
+        start(flagServer.address());
+        Peer.Connection client = client();
+        client.write(callCommand(1, "send", 20_000));
+        Peer.Connection server = serverConnectionOf("01");
+        drainToIdleClose();
+        releaseLoop = new CountDownLatch(1);
+        loopBlocked = new CountDownLatch(1);
+        behindAttemptEnd = this::awaitRelease;
+        server.writeValue("one");
+        assertEquals(List.of("one"), client.readMessage());
+        assertTrue(client.reachesEnd());
+        assertEquals(1, releaseLoop.getCount(), "the event loop has not run since the answer");
+    }
+
+    /** A second answer that came between the poll and the next request's write was taken for that one's. */
+    @Test void secondAnswerBetweenPollAndWriteIsNotTakenForNextRequest() throws Exception {
+        start(flagServer.address());
+        Peer.Connection client = client();
+        Peer.Connection first = idleConnection(client);
+        blockLoopBeforeWrite();
+        client.write(callCommand(2, "send", 20_000));
+        assertTrue(loopBlocked.await(10, TimeUnit.SECONDS));
+        first.writeValue("one");
+        releaseLoop.countDown();
+        serverConnectionOf("02").writeValue("two");
+        assertEquals(List.of("two"), client.readMessage());
+    }
+
+    /** An attempt was written long after its client had closed, as the last poll was older than that. */
+    @Test void attemptIsNotWrittenForClientThatClosedBehindThePoll() throws Exception {
+        start(flagServer.address());
+        Peer.Connection server = idleConnection(client());
+        Peer.Connection client = client();
+        blockLoopBeforeWrite();
+        client.write(callCommand(2, "send", 20_000));
+        expectEvent("arrived 2");
+        assertTrue(loopBlocked.await(10, TimeUnit.SECONDS));
+        client.close();
+        Thread.sleep(MAX_BEGIN_AFTER_CLOSE_MS); // what the protocol allows
+        releaseLoop.countDown();
+        expectEvent("cancelled 2");
+        assertEquals(0, server.in.available());
+    }
 }
--- a/src/test/java/willowyoke/net/EdgeNodeFixture.java
+++ b/src/test/java/willowyoke/net/EdgeNodeFixture.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import willowyoke.Gateway;
@@ -37,7 +38,16 @@
     Peer discovery;
     Peer counter;
     Peer.Connection watch;
+    /** The node until it is drained. */
     EdgeNode node;
+    /** The same node, also while it drains. */
+    private EdgeNode actingNode;
+    /** Runs on the event loop when a drain begins. */
+    volatile Runnable atDrainStart = () -> { };
+    /** Runs on the event loop when an attempt has ended, behind what its answer has led to. */
+    volatile Runnable behindAttemptEnd = () -> { };
+    /** Runs on the event loop when a request of class send has arrived, before its attempt is decided. */
+    volatile Runnable beforeSend = () -> { };
 
     @BeforeEach void startPeers() throws IOException {
         flagServer = new Peer();
@@ -64,13 +74,14 @@
     }
 
     EdgeNode node(String json) throws IOException {
-        return new EdgeNode(Config.of(Config.JSON.readTree(json), Map.of()),
+        actingNode = new EdgeNode(Config.of(Config.JSON.readTree(json), Map.of()),
             (settings, seed, nowMs, moduleActions) -> {
             actions = moduleActions;
             return (Gateway.Events) Proxy.newProxyInstance(getClass().getClassLoader(),
                 new Class<?>[] {Gateway.Events.class},
                 (proxy, method, args) -> event(method.getName(), args));
         });
+        return actingNode;
     }
 
     /** Sends requests of class send to s0 and holds others; one of class stop blocks the event loop. */
@@ -86,6 +97,7 @@
                     actions.fail(request.id());
                 } else {
                     if (request.requestClass().equals("send")) {
+                        beforeSend.run();
                         actions.send(request.id(), "s0", 0, (double) args[0] + writeWithinMs);
                     }
                     events.add("arrived " + request.id());
@@ -93,10 +105,12 @@
             }
             case "attemptEnded" -> {
                 events.add("ended " + args[1] + " " + args[3] + " " + args[5]);
+                actingNode.eventLoopGroup().execute(behindAttemptEnd);
                 if (!(boolean) args[5]) {
                     actions.fail((long) args[1]);
                 }
             }
+            case "drainStarted" -> atDrainStart.run();
             case "requestCancelled" -> events.add("cancelled " + args[1]);
             case "serverListUpdated" -> {
                 StringBuilder text = new StringBuilder((boolean) args[2] ? "complete" : "changes");
@@ -203,6 +217,41 @@
         assertTrue(loopBlocked.await(10, TimeUnit.SECONDS));
     }
 
+    /**
+     * Blocks the event loop in a drain until releaseLoop is counted down: right before the timers that fall
+     * due at a time, or, behind them, right after the sockets have been polled once more.
+     */
+    void blockLoopInDrain(double afterMs, boolean behindPoll) {
+        loopBlocked = new CountDownLatch(1);
+        releaseLoop = new CountDownLatch(1);
+        atDrainStart = () -> {
+            // late timers fall due together, in the order of their times
+            actingNode.schedule(afterMs - 30, () -> LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(60)));
+            actingNode.schedule(afterMs - 20, behindPoll ? () -> actingNode.schedule(0, this::awaitRelease)
+                : this::awaitRelease);
+        };
+    }
+
+    /** Has the event loop blocked between the poll that comes before the next attempt's write, and the write. */
+    void blockLoopBeforeWrite() {
+        loopBlocked = new CountDownLatch(1);
+        releaseLoop = new CountDownLatch(1);
+        beforeSend = () -> {
+            beforeSend = () -> { };
+            actingNode.runAfterNextPoll(this::awaitRelease);
+        };
+    }
+
+    /** Blocks the calling thread until releaseLoop is counted down. */
+    void awaitRelease() {
+        loopBlocked.countDown();
+        try {
+            releaseLoop.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** Has a request answered on a new connection to the flag server, which may then be used again. */
     Peer.Connection idleConnection(Peer.Connection client) throws Exception {
         Peer.Connection connection = answeredConnection(client);
