End a client's connection with its last answer, or on a look at the socket itself

Cause: the end rested on a poll of all sockets; then all idle connections were ended one after the other in one round of the event loop. A node held up in that round ended connections over requests that had come since the poll.

Change and why it works: a last answer is kept back by the socket until the shutdown goes with it, so a client that waits for it can't be writing. Any other end reads the socket itself, and shuts it down only if nothing is there, with nothing between the two calls; what is there is handled as any input. Output that a slow client has not taken is waited for before the look, not after it. Idle connections are ended one by one from the refusals on, the least recently used first, until the answers are due. An incomplete command is given up only after a look for its rest.

--- a/src/main/java/willowyoke/net/ClientConnection.java
+++ b/src/main/java/willowyoke/net/ClientConnection.java
@@ -57,6 +57,10 @@
     /** What still comes is dropped undecoded, and owed no answer. */
     private boolean inputDiscarded;
     private boolean outputEnded;
+    /** The last output is kept back, so that the end goes with it. */
+    private boolean outputHeld;
+    /** The end waits until all output is in the socket. */
+    private boolean awaitingFlush;
     private boolean closed;
     /** Nothing more is read until a long value has been passed on whole. */
     private boolean pausedForLongValue;
@@ -175,11 +179,7 @@
     @Override public void channelReadComplete(ChannelHandlerContext ctx) {
         noteUnreadTime();
         watchIncompleteCommand();
-        if (listener.isRefusing()) {
-            endIfNothingOwed();
-        } else {
-            endAfterNextPoll();
-        }
+        endSoon();
         node.flushChannels();
     }
 
@@ -209,6 +209,8 @@
         }
         if (node.nowMs() < incompleteSinceMs + INCOMPLETE_COMMAND_TIMEOUT_MS) {
             watchIncompleteCommand();
+        } else if (DirectSocket.read(channel) == DirectSocket.Input.READ) {
+            watchIncompleteCommand();
         } else if (channel.config().isAutoRead()) {
             giveUpInput(EndReason.INCOMPLETE_COMMAND, new ErrorRedisMessage("ERR incomplete command"));
         } else { // its rest may be there unread
@@ -240,8 +242,8 @@
             slots.poll();
             lastWriteAtMs = node.nowMs();
         }
-        if (slots.isEmpty() && !frameTracker.isDecoding()) {
-            endAfterNextPoll();
+        if (!frameTracker.isDecoding()) {
+            endSoon();
         }
         updateAutoRead();
     }
@@ -342,7 +344,7 @@
     /** Has the connection ended as soon as the client is owed nothing on it. */
     void requestEnd(EndReason reason) {
         endReason = endReason == null ? reason : endReason;
-        endAfterNextPoll();
+        endSoon();
     }
 
     /** Ends the connection now: a command that has been read in part is refused. */
@@ -350,17 +352,29 @@
         if (closed || outputEnded) {
             return;
         }
-        if (owesIncompleteCommand()) {
+        endReason = endReason == null ? EndReason.NODE_ENDS : endReason;
+        if (owesIncompleteCommand() && DirectSocket.read(channel) != DirectSocket.Input.ENDED
+            && owesIncompleteCommand()) {
             giveUpInput(EndReason.NODE_ENDS, BUSY_ANSWER);
         }
-        endReason = endReason == null ? EndReason.NODE_ENDS : endReason;
-        endIfNothingOwed();
+        endSoon();
     }
 
-    /** Ends the connection if nothing is owed once the sockets have been polled again. */
-    private void endAfterNextPoll() {
+    /**
+     * Ends the connection after the current event if nothing is owed then. A last answer is kept back until
+     * the end goes with it: a client that has its answer may send the next command.
+     */
+    private void endSoon() {
         if (isToBeEnded() && slots.isEmpty()) {
-            node.runAfterNextPoll(this::endIfNothingOwed);
+            holdOutput(true);
+            node.runLater(this::endIfNothingOwed);
+        }
+    }
+
+    private void holdOutput(boolean held) {
+        if (outputHeld != held) {
+            outputHeld = held;
+            DirectSocket.holdOutput(channel, held);
         }
     }
 
@@ -373,11 +387,40 @@
         return !inputDiscarded && frameTracker.hasUnfinishedInput();
     }
 
+    private boolean owesAnything() {
+        return !slots.isEmpty() || owesIncompleteCommand() || isPausedForMemory();
+    }
+
     private void endIfNothingOwed() {
-        boolean owed = !slots.isEmpty() || owesIncompleteCommand() || isPausedForMemory();
-        if (isToBeEnded() && !owed) {
-            endOutput();
+        if (!isToBeEnded() || awaitingFlush) {
+            return;
+        }
+        if (owesAnything()) {
+            holdOutput(false);
+        } else if (unwrittenBytes() > 0) { // a shutdown drops output that is still queued for a slow client
+            awaitingFlush = true;
+            whenFlushed(() -> {
+                awaitingFlush = false;
+                endSoon();
+            });
+        } else {
+            endUnlessInput();
+        }
+    }
+
+    /** Ends the connection, unless a command is in the socket by now. */
+    private void endUnlessInput() {
+        if (inputDiscarded) {
+            channel.shutdownOutput();
+        } else {
+            DirectSocket.Input input = DirectSocket.endOutputUnlessInput(channel);
+            if (input != DirectSocket.Input.NONE) {
+                holdOutput(isToBeEnded() && !owesAnything());
+                return;
+            }
         }
+        outputEnded();
+        closeSoon();
     }
 
     /** Ends the connection behind a value of which the client has a part; no other command is open. */
@@ -385,32 +428,39 @@
         slots.forEach(AnswerSlot::release);
         slots.clear();
         endReason = EndReason.BROKEN_VALUE;
-        endOutput();
+        outputEnded();
+        whenFlushed(() -> {
+            channel.shutdownOutput();
+            closeSoon();
+        });
     }
 
-    /**
-     * Shuts down the output after all answers, then waits for the client to close: closing at once could
-     * reset the connection, and the client would lose an answer. Nothing more is read: a client sends again
-     * what has crossed the end unread.
-     */
-    private void endOutput() {
+    /** Notes that no more is written, nor read: a client sends again what has crossed the end unread. */
+    private void outputEnded() {
         EndReason reason = endReason == null ? EndReason.NODE_ENDS : endReason;
+        outputEnded = true;
         traceClose(reason.name().toLowerCase(Locale.ROOT));
         checkNothingOwed(reason);
         node.countClientEnd(reason);
-        outputEnded = true;
         frameTracker.discardInput();
         updateAutoRead();
-        if (reason == EndReason.MAKE_ROOM && lastWriteAtMs == Double.NEGATIVE_INFINITY) {
+    }
+
+    private void whenFlushed(Runnable task) {
+        channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(f -> task.run());
+        closeWithoutProgress(unwrittenBytes());
+    }
+
+    /**
+     * Closes the connection when its client has had the time to close it: closing at once could reset it, and
+     * the client would lose an answer.
+     */
+    private void closeSoon() {
+        if (lastWriteAtMs == Double.NEGATIVE_INFINITY && endReason == EndReason.MAKE_ROOM) {
             channel.close(); // it has carried nothing
-            return;
-        }
-        // Once all is flushed: a shutdown drops output that is still queued for a slow client.
-        channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(f -> {
-            channel.shutdownOutput();
+        } else {
             node.schedule(clientMayBeReading() ? EdgeNode.STALL_TIMEOUT_MS : LINGER_MS, channel::close);
-        });
-        closeWithoutProgress(unwrittenBytes());
+        }
     }
 
     /** Checks, by what has gone over the wire, that each command has its answer. */
@@ -436,11 +486,12 @@
     /** Closes the connection if its client has stopped reading answers; waits for a slow one. */
     private void closeWithoutProgress(long previousBytes) {
         node.schedule(EdgeNode.STALL_TIMEOUT_MS, () -> {
-            if (channel.isOpen() && unwrittenBytes() == previousBytes) {
+            long bytes = unwrittenBytes();
+            if (bytes > 0 && bytes == previousBytes) {
                 traceClose("the client reads nothing");
                 channel.close();
-            } else if (channel.isOpen()) {
-                closeWithoutProgress(unwrittenBytes());
+            } else if (bytes > 0) {
+                closeWithoutProgress(bytes);
             }
         });
     }
--- a/src/main/java/willowyoke/net/ClientListener.java
+++ b/src/main/java/willowyoke/net/ClientListener.java
@@ -135,7 +135,7 @@
         return maxConnections + Math.max(1, maxConnections / 16);
     }
 
-    /** Ends each connection after its next answer, when its client is least likely to be writing. */
+    /** Ends each connection that has been used with its next answer, when its client can't be writing. */
     void endAfterNextAnswer() {
         ending = true;
     }
@@ -146,27 +146,33 @@
     }
 
     /**
-     * Ends the connections on which nothing is owed. One that has carried no command yet stays open, as its
-     * first one may be on its way and no client sends that again; it ends after its answer, or when it stays
-     * silent.
+     * Ends the connections on which nothing is owed, one after the other, over a time: the least recently used
+     * first, as its client is the least likely to be writing, while those in use end with their next answers.
+     * One that has carried no command yet stays open, as its first one may be on its way and no client sends
+     * that again; it ends after its answer, or when it stays silent.
      */
-    void endIdleConnections() {
+    void endIdleConnections(double withinMs) {
         ending = true;
+        long idleCount = connections.stream().filter(ClientConnection::isIdle).count();
+        endNextIdle(withinMs / Math.max(1, idleCount));
+    }
+
+    private void endNextIdle(double intervalMs) {
         for (ClientConnection connection : connections) {
-            if (connection.isUsed()) {
+            if (connection.isIdle()) {
                 connection.requestEnd(EndReason.NODE_ENDS);
+                node.schedule(intervalMs, () -> endNextIdle(intervalMs));
+                return;
             }
         }
     }
 
     /**
-     * Refuses all requests from here on, and ends each connection once it has no unanswered commands. A
-     * client may send on an open connection until the process is killed.
+     * Refuses all requests from here on. A client may send on an open connection until the process is killed.
      */
     void refuseFurtherRequests() {
         refusing = true;
         resumeReading();
-        endIdleConnections();
     }
 
     /** Ends all connections now; a command that has been read in part is refused. */
--- a/src/main/java/willowyoke/net/EdgeNode.java
+++ b/src/main/java/willowyoke/net/EdgeNode.java
@@ -399,9 +399,10 @@
         if (handsOver) {
             handOver();
         }
-        scheduleAt(toldAtMs + schedule.keepConnectionsMs(), clientListener::endIdleConnections);
+        scheduleAt(toldAtMs + schedule.keepConnectionsMs(), clientListener::endAfterNextAnswer);
         scheduleAt(toldAtMs + schedule.refuseMs(), () -> {
             clientListener.refuseFurtherRequests();
+            clientListener.endIdleConnections(schedule.answerMs() - schedule.refuseMs());
             if (handsOver) {
                 endWhenIdle();
             } else {
