Look at a server's connection itself before it carries another request

What callers saw: a value that was made for another request, where a flag server answers twice and the second answer comes while the node is held up between its poll and the next write on that connection.

Cause: a connection was taken as at rest by the last poll; what had come since lay unread and was taken for the next answer. The end of a connection by its server went unseen in the same way, which costs an unsafe request its one attempt.

Evidence: ConnectionEndTest#secondAnswerBetweenPollAndWriteIsNotTakenForNextRequest fails before (the request is written behind the second answer), and passes with the look.

Why it works: the look is the call before the write on every connection that has carried a request; an answer too many or an end sends the attempt to another connection, of which nothing is written yet.

--- a/src/main/java/willowyoke/net/ServerPool.java
+++ b/src/main/java/willowyoke/net/ServerPool.java
@@ -377,7 +377,10 @@
     }
 
     private void writeQueued(ServerConnection connection, Attempt attempt) {
-        if (attempt == null || attempt.state != AttemptState.WAITING) {
+        if (attempt != null) {
+            connection.lookAtServer(attempt);
+        }
+        if (attempt == null || connection.current != attempt || attempt.state != AttemptState.WAITING) {
             return;
         }
         if (!connection.endpoint.usable) {
@@ -507,6 +510,13 @@
             writeQueue.add(this);
         }
 
+        /** Sees what has come since the last poll: an answer too many, or the server's end. */
+        private void lookAtServer(Attempt attempt) {
+            if (reused && current == attempt && DirectSocket.read(channel) == DirectSocket.Input.ENDED) {
+                retire();
+            }
+        }
+
         private void write(Attempt attempt) {
             checkAllowed(attempt);
             attempt.state = AttemptState.WRITING;
