Look for a client's close before an attempt that rests on an old poll

Cause: closes are seen by polls only, and an attempt was written in the round behind one, however long that had taken by then; its bytes were flushed at the end of the whole event.

Evidence: ConnectionEndTest#attemptIsNotWrittenForClientThatClosedBehindThePoll fails before (74 bytes at the server) and passes now.

Why it works: where the loop has worked for 5 ms and more since its poll, the client's socket is read before the write, up to its end; each attempt is flushed at once, so no other work lies between the look and the write.

--- a/src/main/java/willowyoke/net/AnswerSlot.java
+++ b/src/main/java/willowyoke/net/AnswerSlot.java
@@ -37,6 +37,11 @@
         return answer;
     }
 
+    /** Sees, past the event loop, whether the client has closed its connection. */
+    void lookForClose() {
+        connection.lookForClose();
+    }
+
     /** Gives the same answer to one more command. */
     void repeatAnswer() {
         repeatCount++;
--- a/src/main/java/willowyoke/net/ClientConnection.java
+++ b/src/main/java/willowyoke/net/ClientConnection.java
@@ -31,6 +31,8 @@
     private static final int MAX_PIPELINED_COMMANDS = 256;
     /** How long the client has to close a connection after the node has shut down its output. */
     private static final double LINGER_MS = 200;
+    /** Reads in a row in search of the client's close, as the event loop has it. */
+    private static final int MAX_DIRECT_READS = 16;
     /** A connection that has been silent for this long since its accept may make room for others. */
     static final double SILENT_BEFORE_CLOSE_MS = 100;
     /** A connection on which nothing has come is ended after this; the protocol demands it within 3 s. */
@@ -536,7 +538,31 @@
         }
     }
 
+    /**
+     * Reads what the client has sent, up to its close: what waits for an attempt on this connection is then
+     * cancelled. A client of which nothing is read is left to the event loop.
+     */
+    void lookForClose() {
+        if (closed || outputEnded || !channel.config().isAutoRead()) {
+            return;
+        }
+        DirectSocket.Input input = DirectSocket.Input.READ;
+        for (int i = 0; i < MAX_DIRECT_READS && input == DirectSocket.Input.READ; i++) {
+            input = DirectSocket.read(channel);
+        }
+        if (input == DirectSocket.Input.ENDED) {
+            clientGone();
+            channel.close();
+        }
+    }
+
     @Override public void channelInactive(ChannelHandlerContext ctx) {
+        clientGone();
+        listener.makeRoom();
+        node.flushChannels();
+    }
+
+    private void clientGone() {
         closed = true;
         listener.connectionClosed(this);
         while (!slots.isEmpty()) {
@@ -546,8 +572,6 @@
                 node.clientDisconnected(slot.request);
             }
         }
-        listener.makeRoom();
-        node.flushChannels();
     }
 
     /** Ends the connection after malformed input: where the next command begins is unknown. */
--- a/src/main/java/willowyoke/net/EdgeNode.java
+++ b/src/main/java/willowyoke/net/EdgeNode.java
@@ -530,6 +530,11 @@
         return pollTimes.unreadMs();
     }
 
+    /** Whether what the last poll has found may be out of date. */
+    boolean isPollOld() {
+        return pollTimes.isPollOld();
+    }
+
     /** A handler that belongs in front of all others in each pipeline. */
     ChannelHandler workHandler() {
         return pollTimes.handler();
--- a/src/main/java/willowyoke/net/ServerPool.java
+++ b/src/main/java/willowyoke/net/ServerPool.java
@@ -361,7 +361,8 @@
 
     /**
      * Writes the queued attempts. The sockets have been polled since they were queued, so a client that
-     * closed its connection right behind its request is known to be gone by now.
+     * closed its connection right behind its request is known to be gone by now, unless that poll is some time
+     * ago.
      */
     private void writeQueued() {
         try {
@@ -378,7 +379,7 @@
 
     private void writeQueued(ServerConnection connection, Attempt attempt) {
         if (attempt != null) {
-            connection.lookAtServer(attempt);
+            connection.lookAtBothSides(attempt);
         }
         if (attempt == null || connection.current != attempt || attempt.state != AttemptState.WAITING) {
             return;
@@ -510,8 +511,11 @@
             writeQueue.add(this);
         }
 
-        /** Sees what has come since the last poll: an answer too many, or the server's end. */
-        private void lookAtServer(Attempt attempt) {
+        /** Sees what has come since the last poll: the client's close, an answer too many, the server's end. */
+        private void lookAtBothSides(Attempt attempt) {
+            if (attempt.request != null && node.isPollOld()) {
+                attempt.request.slot.lookForClose();
+            }
             if (reused && current == attempt && DirectSocket.read(channel) == DirectSocket.Input.ENDED) {
                 retire();
             }
@@ -524,7 +528,7 @@
                 ? RespCodec.command(channel.alloc(), "INFO", "load")
                 : attempt.request.call.withRemainingTime(attempt.request.command,
                     attempt.request.deadlineMs - node.nowMs(), channel.alloc());
-            channel.write(command).addListener(future -> {
+            channel.writeAndFlush(command).addListener(future -> {
                 if (future.isSuccess() && attempt.state == AttemptState.WRITING) {
                     attempt.state = AttemptState.WRITTEN;
                     attempt.writtenAtMs = node.nowMs();
@@ -533,7 +537,6 @@
                     node.attemptWritten();
                 }
             });
-            node.flushLater(channel);
         }
 
         private void checkAllowed(Attempt attempt) {
