Count ends that are put off and input behind an end, and log the steps of a drain

Need: the operators' excerpts could not say whether a request had been read when its connection ended, how old the node's view of its sockets was, or when its drain took which step.

--- a/fleet/cli/src/main/java/barleyfall/cli/LabCommand.java
+++ b/fleet/cli/src/main/java/barleyfall/cli/LabCommand.java
@@ -125,6 +125,8 @@
     int soak(@Option(names = "--seeds", defaultValue = "50", description = "number of seeds") int seeds,
         @Option(names = "--first", defaultValue = "1", description = "the first seed") long first,
         @Option(names = "--edges", defaultValue = "24", description = "number of edge nodes") int edges,
+        @Option(names = "--cores", defaultValue = "0",
+            description = "part of a core that each edge node has (default: no limit)") double cores,
         @Option(names = "--out", paramLabel = "DIR",
             description = "where each run has a folder (default: lab-out/soak-TIME)") Path out)
         throws IOException {
@@ -136,10 +138,12 @@
             "soak-" + LocalDateTime.now().format(DateTimeFormatter.ofPattern("yyyyMMdd-HHmmss")));
         int violations = 0;
         for (long seed = first; seed < first + seeds; seed++) {
-            Result result = soakOnce(seed, edges, folder.resolve(Long.toString(seed)));
-            System.out.printf("seed %d: %d starts, %.0f failed system calls, served %.2f, %d violations%s%n",
+            Result result = soakOnce(seed, edges, cores, folder.resolve(Long.toString(seed)));
+            System.out.printf("seed %d: %d starts, %.0f failed system calls, served %.2f, %.0f requests crossed an "
+                + "end (%.1f ms at the most), %d violations%s%n",
                 seed, result.edges().stream().mapToInt(Result.EdgeRow::starts).sum(),
                 result.figures().get("system-call-faults"), result.figures().get("served"),
+                result.figures().get("crossed-ends"), result.figures().get("crossed-end-unread-max-ms"),
                 result.violations().size(), result.sound() ? "" : ", unsound: " + result.unsoundReasons());
             result.violations().forEach(violation -> System.out.println("  " + violation.toLine()));
             violations += result.violations().size();
@@ -147,11 +151,11 @@
         return violations == 0 ? Main.EXIT_OK : Main.EXIT_FAILED;
     }
 
-    private static Result soakOnce(long seed, int edges, Path folder) throws IOException {
+    private static Result soakOnce(long seed, int edges, double cores, Path folder) throws IOException {
         Files.createDirectories(folder);
-        Files.writeString(folder.resolve("experiment.toml"), SoakExperiment.text(seed, edges));
+        Files.writeString(folder.resolve("experiment.toml"), SoakExperiment.text(seed, edges, cores));
         try (LabLog log = new LabLog(folder)) {
-            return new LabRun(SoakExperiment.draw(seed, edges), seed, Project.find(home()), folder,
+            return new LabRun(SoakExperiment.draw(seed, edges, cores), seed, Project.find(home()), folder,
                 line -> { }).run();
         } catch (InvalidFileException e) {
             throw new IllegalStateException("seed " + seed + ": " + e.problems(), e);
--- a/fleet/lab/src/main/java/barleyfall/lab/run/SoakExperiment.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/run/SoakExperiment.java
@@ -45,24 +45,31 @@
 
     private final SplittableRandom random;
     private final int edges;
+    private final double cores;
     private final int servers;
     private final StringBuilder text = new StringBuilder();
     private int faultNumber;
 
-    private SoakExperiment(long seed, int edges) {
+    private SoakExperiment(long seed, int edges, double cores) {
         random = new SplittableRandom(seed);
         this.edges = edges;
+        this.cores = cores;
         servers = edges + edges / 2;
     }
 
-    /** Draws the experiment of a seed with so many edge nodes. */
+    /** Draws the experiment of a seed with so many edge nodes, which have all the processor time they want. */
     public static Experiment draw(long seed, int edges) throws InvalidFileException {
-        return ExperimentReader.parse("soak-" + seed + ".toml", text(seed, edges));
+        return draw(seed, edges, 0);
+    }
+
+    /** Draws the experiment of a seed; each edge node has such a part of a core, or no limit with 0. */
+    public static Experiment draw(long seed, int edges, double cores) throws InvalidFileException {
+        return ExperimentReader.parse("soak-" + seed + ".toml", text(seed, edges, cores));
     }
 
     /** Returns the same as the text of an experiment's file, with which a run can be repeated. */
-    public static String text(long seed, int edges) {
-        return new SoakExperiment(seed, edges).write(seed);
+    public static String text(long seed, int edges, double cores) {
+        return new SoakExperiment(seed, edges, cores).write(seed);
     }
 
     private String write(long seed) {
@@ -78,6 +85,7 @@
             servers = %d
             zones = ["a", "b", "c"]
             [edge]
+            cores = %.2f
             descriptors = %d
             [servers]
             cores = 1
@@ -104,7 +112,7 @@
             [[plan]]
             name = "open"
             rate = "20/s"
-            """, seed, LENGTH_MS, seed, edges, servers, crowded ? MAX_DESCRIPTORS : 2 * MAX_DESCRIPTORS,
+            """, seed, LENGTH_MS, seed, edges, servers, cores, crowded ? MAX_DESCRIPTORS : 2 * MAX_DESCRIPTORS,
             1000 + random.nextInt(10_000), random.nextBoolean() ? "kind = \"agents\"" : "replicas = 3",
             requestsPerSecond));
         addClass("read", 0.5, deadlineMs, "safe");
--- a/src/main/java/willowyoke/net/ClientConnection.java
+++ b/src/main/java/willowyoke/net/ClientConnection.java
@@ -417,6 +417,7 @@
         } else {
             DirectSocket.Input input = DirectSocket.endOutputUnlessInput(channel);
             if (input != DirectSocket.Input.NONE) {
+                node.countClientEndPutOff();
                 holdOutput(isToBeEnded() && !owesAnything());
                 return;
             }
@@ -445,6 +446,7 @@
         checkNothingOwed(reason);
         node.countClientEnd(reason);
         frameTracker.discardInput();
+        exchangeCounter.outputEnded(node::countBytesBehindEnd);
         updateAutoRead();
     }
 
--- a/src/main/java/willowyoke/net/ClientListener.java
+++ b/src/main/java/willowyoke/net/ClientListener.java
@@ -205,6 +205,11 @@
         return connections.isEmpty();
     }
 
+    /** How many connections are open. */
+    int connectionCount() {
+        return connections.size();
+    }
+
     /** Resumes reading from connections on which it had stopped for want of memory. */
     void resumeReading() {
         for (ClientConnection connection : connections) {
--- a/src/main/java/willowyoke/net/EdgeNode.java
+++ b/src/main/java/willowyoke/net/EdgeNode.java
@@ -391,6 +391,7 @@
     private void beginDrain(double toldAtMs) {
         DrainSchedule schedule = DrainSchedule.of(currentConfig.settings());
         answerByMs = toldAtMs + schedule.answerMs();
+        logDrain(toldAtMs, "begins, answers by " + Math.round(schedule.answerMs()) + " ms");
         notifyModule(m -> m.drainStarted(nowMs(), answerByMs));
         for (PendingRequest request : requests.values().toArray(new PendingRequest[0])) {
             bringForward(request);
@@ -401,6 +402,7 @@
         }
         scheduleAt(toldAtMs + schedule.keepConnectionsMs(), clientListener::endAfterNextAnswer);
         scheduleAt(toldAtMs + schedule.refuseMs(), () -> {
+            logDrain(toldAtMs, "refuses further requests");
             clientListener.refuseFurtherRequests();
             clientListener.endIdleConnections(schedule.answerMs() - schedule.refuseMs());
             if (handsOver) {
@@ -409,7 +411,17 @@
                 unbindAndEnd(toldAtMs + schedule.endMs());
             }
         });
-        scheduleAt(toldAtMs + schedule.endMs(), clientListener::endAll);
+        scheduleAt(toldAtMs + schedule.endMs(), () -> {
+            logDrain(toldAtMs, "ends what is left");
+            clientListener.endAll();
+        });
+    }
+
+    /** Logs a step of a drain with its time since the signal was handled, by the clock of the log's other times. */
+    private void logDrain(double toldAtMs, String step) {
+        System.err.println("drain " + step + ", " + Math.round(nowMs() - toldAtMs) + " ms after the signal at "
+            + Math.round(toldAtMs) + ": " + clientListener.connectionCount() + " connections of clients, "
+            + inFlight + " open requests");
     }
 
     private void scheduleAt(double atMs, Runnable task) {
@@ -614,7 +626,17 @@
 
     /** Counts a client's connection that this node ends. */
     void countClientEnd(ClientConnection.EndReason reason) {
-        metrics.countClientEnd(reason);
+        metrics.countClientEnd(reason, pollTimes.pollAgeMs());
+    }
+
+    /** Counts an end of a client's connection that is put off, as a command has come since the last poll. */
+    void countClientEndPutOff() {
+        metrics.countClientEndPutOff();
+    }
+
+    /** Counts bytes that a client has sent behind the end of its connection. */
+    void countBytesBehindEnd(int bytes) {
+        metrics.countBytesBehindEnd(bytes);
     }
 
     /** Counts a system call that failed for a reason of this machine. */
--- a/src/main/java/willowyoke/net/ExchangeCounter.java
+++ b/src/main/java/willowyoke/net/ExchangeCounter.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPromise;
+import java.util.function.IntConsumer;
 
 /**
  * Counts, as the first handler of a client's pipeline, the commands whose first byte has been read and the
@@ -13,10 +14,16 @@
     private final RespMessageCounter commands = new RespMessageCounter();
     private final RespMessageCounter answers = new RespMessageCounter();
     private boolean inputIgnored;
+    /** Is told of the bytes that come behind the end of the output; null before that. */
+    private IntConsumer bytesBehindEnd;
 
     @Override public void channelRead(ChannelHandlerContext ctx, Object msg) {
-        if (!inputIgnored && msg instanceof ByteBuf bytes) {
-            commands.count(bytes);
+        if (msg instanceof ByteBuf bytes) {
+            if (bytesBehindEnd != null) {
+                bytesBehindEnd.accept(bytes.readableBytes());
+            } else if (!inputIgnored) {
+                commands.count(bytes);
+            }
         }
         ctx.fireChannelRead(msg);
     }
@@ -28,6 +35,11 @@
         ctx.write(msg, promise);
     }
 
+    /** Takes the rest of what is read for what has crossed the end of the output. */
+    void outputEnded(IntConsumer bytesBehindEnd) {
+        this.bytesBehindEnd = bytesBehindEnd;
+    }
+
     /** Counts no more of what is read, as it is owed no answer. */
     void ignoreFurtherInput() {
         inputIgnored = true;
--- a/src/main/java/willowyoke/net/Metrics.java
+++ b/src/main/java/willowyoke/net/Metrics.java
@@ -27,6 +27,12 @@
     /** Clients' connections that this node has ended, by the reason. */
     private final Map<ClientConnection.EndReason, Long> clientEnds =
         new EnumMap<>(ClientConnection.EndReason.class);
+    /** Ends that were put off, as a command had come since the last poll. */
+    private long clientEndsPutOff;
+    /** Bytes that came behind the end of a client's connection, and were read with its close. */
+    private long bytesBehindEnd;
+    /** The longest time between a poll and an end that followed it. */
+    private double maxPollAgeAtEndMs;
     /** System calls that failed for a reason of this machine, by the name of the call. */
     private final Map<String, Long> localFailures = new TreeMap<>();
 
@@ -74,9 +80,20 @@
         surplusAnswers++;
     }
 
-    /** Counts a client's connection that this node ends. */
-    void countClientEnd(ClientConnection.EndReason reason) {
+    /** Counts a client's connection that this node ends, so long after the last poll. */
+    void countClientEnd(ClientConnection.EndReason reason, double pollAgeMs) {
         clientEnds.merge(reason, 1L, Long::sum);
+        maxPollAgeAtEndMs = Math.max(maxPollAgeAtEndMs, pollAgeMs);
+    }
+
+    /** Counts an end that is put off, as a command has come since the last poll. */
+    void countClientEndPutOff() {
+        clientEndsPutOff++;
+    }
+
+    /** Counts bytes that a client has sent behind the end of its connection. */
+    void countBytesBehindEnd(int bytes) {
+        bytesBehindEnd += bytes;
     }
 
     /** Counts a system call that failed for a reason of this machine. */
@@ -102,6 +119,9 @@
         appendLine(text, "surplus_answers_total", surplusAnswers);
         clientEnds.forEach((reason, count) -> appendLine(text,
             "client_ends_total{reason=\"" + reason.name().toLowerCase(Locale.ROOT) + "\"}", count));
+        appendLine(text, "client_ends_put_off_total", clientEndsPutOff);
+        appendLine(text, "client_bytes_behind_end_total", bytesBehindEnd);
+        appendLine(text, "client_end_poll_age_max_ms", Math.round(maxPollAgeAtEndMs));
         localFailures.forEach((call, count) ->
             appendLine(text, "local_failures_total{call=\"" + call + "\"}", count));
         invariants.violationCounts().forEach((name, count) ->
--- a/src/main/java/willowyoke/net/PollTimes.java
+++ b/src/main/java/willowyoke/net/PollTimes.java
@@ -50,9 +50,14 @@
         return waitedNanos < LONG_WORK_NANOS ? 0 : waitedNanos / 1e6;
     }
 
+    /** How long the loop has worked since its last poll, in ms. */
+    double pollAgeMs() {
+        return (workSinceNanos == 0 ? 0 : System.nanoTime() - workSinceNanos) / 1e6;
+    }
+
     /** Whether the loop has worked for so long since its last poll that what that found may be out of date. */
     boolean isPollOld() {
-        return workSinceNanos != 0 && System.nanoTime() - workSinceNanos >= LONG_WORK_NANOS;
+        return pollAgeMs() * 1e6 >= LONG_WORK_NANOS;
     }
 
     @Override public int calculateStrategy(IntSupplier selectNow, boolean hasTasks) throws Exception {
