--- a/src/main/java/willowyoke/net/EdgeNode.java
+++ b/src/main/java/willowyoke/net/EdgeNode.java
@@ -54,7 +54,6 @@
     private static final double LOOP_DELAY_HALF_LIFE_MS = 250;
     /** The largest part of a timeout that is subtracted for loop delay, so that requests are still tried. */
     private static final double MAX_LOOP_DELAY_FRACTION = 0.25;
-    private static final double END_CHECK_INTERVAL_MS = 5;
     /**
      * Shares of the configured number of file descriptors. The remainder is for files and the event loop, 27
      * without any connection, and for the connections to the counter and to discovery, which must still fit
@@ -153,7 +152,7 @@
     private final Object reloadLock = new Object();
     /** Completes when the servers that the process before has detached are known. */
     private final CompletableFuture<Void> detachedServersKnown = new CompletableFuture<>();
-    private final CompletableFuture<Void> drained = new CompletableFuture<>();
+    private final Drain drain;
     private Gateway.Events module;
     private long lastId;
     /** Total size of the pending requests. */
@@ -184,6 +183,7 @@
         currentConfig = config;
         this.moduleFactory = moduleFactory;
         clientListener = new ClientListener(this, (int) (config.maxSockets() * CLIENT_SOCKET_FRACTION));
+        drain = new Drain(this, clientListener, config.inheritsListener());
         serverPool = new ServerPool(this, eventLoopGroup, config,
             (int) (config.maxSockets() * SERVER_SOCKET_FRACTION));
         counterClient = new CounterClient(this, eventLoopGroup, config.counterAddress(),
@@ -382,50 +382,30 @@
         if (!beginEnding()) {
             return;
         }
-        double toldAtMs = nowMs();
-        eventLoopGroup.execute(() -> runGuarded(() -> beginDrain(toldAtMs)));
-        drained.join();
+        double signalledAtMs = nowMs();
+        eventLoopGroup.execute(() -> runGuarded(() ->
+            drain.begin(signalledAtMs, DrainSchedule.of(currentConfig.settings()))));
+        drain.awaitEnd();
         eventLoopGroup.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).awaitUninterruptibly(500);
     }
 
-    private void beginDrain(double toldAtMs) {
-        DrainSchedule schedule = DrainSchedule.of(currentConfig.settings());
-        answerByMs = toldAtMs + schedule.answerMs();
-        logDrain(toldAtMs, "begins, answers by " + Math.round(schedule.answerMs()) + " ms");
+    /** Has all requests answered by a time: those that are open, and those that still come. */
+    void answerAllBy(double answerByMs) {
+        this.answerByMs = answerByMs;
         notifyModule(m -> m.drainStarted(nowMs(), answerByMs));
         for (PendingRequest request : requests.values().toArray(new PendingRequest[0])) {
             bringForward(request);
         }
-        boolean handsOver = initialConfig.inheritsListener();
-        if (handsOver) {
-            handOver();
-        }
-        scheduleAt(toldAtMs + schedule.keepConnectionsMs(), clientListener::endAfterNextAnswer);
-        scheduleAt(toldAtMs + schedule.refuseMs(), () -> {
-            logDrain(toldAtMs, "refuses further requests");
-            clientListener.refuseFurtherRequests();
-            clientListener.endIdleConnections(schedule.answerMs() - schedule.refuseMs());
-            if (handsOver) {
-                endWhenIdle();
-            } else {
-                unbindAndEnd(toldAtMs + schedule.endMs());
-            }
-        });
-        scheduleAt(toldAtMs + schedule.endMs(), () -> {
-            logDrain(toldAtMs, "ends what is left");
-            clientListener.endAll();
-        });
     }
 
-    /** Logs a step of a drain with its time since the signal was handled, by the clock of the log's other times. */
-    private void logDrain(double toldAtMs, String step) {
-        System.err.println("drain " + step + ", " + Math.round(nowMs() - toldAtMs) + " ms after the signal at "
-            + Math.round(toldAtMs) + ": " + clientListener.connectionCount() + " connections of clients, "
-            + inFlight + " open requests");
+    /** Tells the module that another process takes over the clients. */
+    void announceHandover() {
+        notifyModule(m -> m.handoverStarted(nowMs()));
     }
 
-    private void scheduleAt(double atMs, Runnable task) {
-        schedule(atMs - nowMs(), task);
+    /** How many requests have no whole answer yet. */
+    int openRequestCount() {
+        return inFlight;
     }
 
     /** Has an open request answered before a node that ends may be killed. */
@@ -437,23 +417,6 @@
         }
     }
 
-    /** Closes the listening socket once its queue is empty, as its close resets what waits there. */
-    private void unbindAndEnd(double latestMs) {
-        if (clientListener.mayHaveWaiting() && nowMs() < latestMs) {
-            schedule(END_CHECK_INTERVAL_MS, () -> unbindAndEnd(latestMs));
-        } else {
-            clientListener.unbind();
-            endWhenIdle();
-        }
-    }
-
-    /** Leaves the clients to another process, which shares the listening socket and its backlog. */
-    private void handOver() {
-        notifyModule(m -> m.handoverStarted(nowMs()));
-        clientListener.unbind();
-        clientListener.endAfterNextAnswer();
-    }
-
     /**
      * Handles SIGHUP: applies the settings and the addresses of discovery and the counter from the
      * configuration file; the rest cannot change. A file that is incomplete or malformed is rejected as a
@@ -493,16 +456,6 @@
         notifyModule(m -> m.settingsChanged(nowMs(), changed.settings()));
     }
 
-    private void endWhenIdle() {
-        if (clientListener.isIdle()) {
-            invariants.check(Invariant.NOTHING_OWED, inFlight == 0,
-                () -> inFlight + " requests without an answer at the end");
-            drained.complete(null);
-        } else {
-            schedule(END_CHECK_INTERVAL_MS, this::endWhenIdle);
-        }
-    }
-
     /**
      * The module's clock: a monotonic clock in milliseconds, set to Unix time once, so that the module's
      * counter names, which contain the time, are the same on all edge nodes.
