--- a/fleet/cli/src/main/java/barleyfall/cli/LabCommand.java
+++ b/fleet/cli/src/main/java/barleyfall/cli/LabCommand.java
@@ -139,8 +139,8 @@
         int violations = 0;
         for (long seed = first; seed < first + seeds; seed++) {
             Result result = soakOnce(seed, edges, cores, folder.resolve(Long.toString(seed)));
-            System.out.printf("seed %d: %d starts, %.0f failed system calls, served %.2f, %.0f requests crossed an "
-                + "end (%.1f ms at the most), %d violations%s%n",
+            System.out.printf("seed %d: %d starts, %.0f failed system calls, served %.2f, "
+                + "%.0f requests crossed an end (%.1f ms at the most), %d violations%s%n",
                 seed, result.edges().stream().mapToInt(Result.EdgeRow::starts).sum(),
                 result.figures().get("system-call-faults"), result.figures().get("served"),
                 result.figures().get("crossed-ends"), result.figures().get("crossed-end-unread-max-ms"),
--- a/fleet/lab/src/main/java/barleyfall/lab/result/ResultBuilder.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/result/ResultBuilder.java
@@ -67,7 +67,7 @@
             .toList());
     }
 
-    /** How many requests crossed the end of their connection, and for how long they lay unread at the most. */
+    /** How many requests crossed the end of their connection, and the longest that one lay unread. */
     private Map<String, Double> crossedEnds() {
         double[] unreadMs = trace.stream().filter(Event.RequestCrossedEnd.class::isInstance)
             .mapToDouble(event -> ((Event.RequestCrossedEnd) event).unreadMs()).toArray();
--- a/fleet/lab/src/main/java/barleyfall/lab/run/SoakExperiment.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/run/SoakExperiment.java
@@ -57,7 +57,7 @@
         servers = edges + edges / 2;
     }
 
-    /** Draws the experiment of a seed with so many edge nodes, which have all the processor time they want. */
+    /** Draws the experiment of a seed with so many edge nodes; their processor time is not limited. */
     public static Experiment draw(long seed, int edges) throws InvalidFileException {
         return draw(seed, edges, 0);
     }
@@ -112,8 +112,8 @@
             [[plan]]
             name = "open"
             rate = "20/s"
-            """, seed, LENGTH_MS, seed, edges, servers, cores, crowded ? MAX_DESCRIPTORS : 2 * MAX_DESCRIPTORS,
-            1000 + random.nextInt(10_000), random.nextBoolean() ? "kind = \"agents\"" : "replicas = 3",
+            """, seed, LENGTH_MS, seed, edges, servers, cores,
+            crowded ? MAX_DESCRIPTORS : 2 * MAX_DESCRIPTORS, 1000 + random.nextInt(10_000), random.nextBoolean() ? "kind = \"agents\"" : "replicas = 3",
             requestsPerSecond));
         addClass("read", 0.5, deadlineMs, "safe");
         addClass("keyed", 0.25, deadlineMs, "keyed");
--- a/fleet/lab/src/main/java/barleyfall/lab/standin/RequestConnection.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/standin/RequestConnection.java
@@ -20,10 +20,10 @@
     /** How long an answer is waited for after the client's deadline; a later one counts as missing. */
     private static final double LATE_ANSWER_WAIT_MS = 500;
     /**
-     * What was in the edge node's socket this long before the connection ended counts as taken: every time limit
-     * of the protocol is longer by this much.
+     * What was in the edge node's socket this long before the connection ended counts as taken: every time
+     * limit of the protocol is longer by this much.
      */
-    static final double MAX_CROSSING_MS = 50;
+    private static final double MAX_CROSSING_MS = 50;
     private static final int MAX_OPEN = 6;
 
     /** A command that has no answer yet; a PING where it belongs to no try. */
--- a/fleet/lab/src/test/java/barleyfall/lab/run/SoakTest.java
+++ b/fleet/lab/src/test/java/barleyfall/lab/run/SoakTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static org.junit.jupiter.api.Assumptions.assumeTrue;
 
+import barleyfall.lab.experiment.Experiment;
 import barleyfall.lab.process.SystemCallFaults;
 import barleyfall.lab.result.Result;
 import java.nio.file.Path;
@@ -22,6 +23,8 @@
 @Timeout(120)
 class SoakTest {
     private static final int EDGES = 8;
+    private static final double NO_LIMIT = 0;
+    private static final double HALF_A_CORE = 0.5;
     /** Rules that a machine without time for the processes breaks as well. */
     private static final Set<String> TIMED_RULES = Set.of("answers", "deadlines", "departures");
 
@@ -30,17 +33,22 @@
     @ParameterizedTest
     @ValueSource(longs = {1, 2})
     void breaksNoRule(long seed) throws Exception {
-        play(seed);
+        play(seed, NO_LIMIT);
     }
 
     @Test void breaksNoRuleInCrowd() throws Exception {
-        play(3);
+        play(3, NO_LIMIT);
     }
 
-    private void play(long seed) throws Exception {
+    @Test void breaksNoRuleShortOfProcessorTime() throws Exception {
+        play(31, HALF_A_CORE);
+    }
+
+    private void play(long seed, double cores) throws Exception {
         assumeTrue(SystemCallFaults.isAvailable(), "NOT RUN: there is no C compiler");
-        Result result = new LabRun(SoakExperiment.draw(seed, EDGES), seed, Project.find(Path.of("")), folder,
-            line -> { }).run();
+        Experiment experiment = SoakExperiment.draw(seed, EDGES, cores);
+        Result result =
+            new LabRun(experiment, seed, Project.find(Path.of("")), folder, line -> { }).run();
         assertEquals(List.of(), result.violations().stream()
             .filter(violation -> result.sound() || !TIMED_RULES.contains(violation.rule())).toList());
         assertTrue(result.figures().get("system-call-faults") > 1000, result.figures().toString());
--- a/src/main/java/willowyoke/net/DrainSchedule.java
+++ b/src/main/java/willowyoke/net/DrainSchedule.java
@@ -6,9 +6,10 @@
  * When a node that is told to end does what, in ms after that. It may be killed after the longest deadline of
  * the settings, or a bound on that, and a grace.
  *
- * @param keepConnectionsMs until when clients' connections are kept, as new ones arrive for a while; from then on
- *     each ends with its next answer
- * @param refuseMs from when on further requests are refused, no connection is accepted, and idle ones are ended
+ * @param keepConnectionsMs until when clients' connections are kept, as new ones arrive for a while; from
+ *     then on each ends with its next answer
+ * @param refuseMs from when on further requests are refused, no connection is accepted, and idle ones are
+ *     ended
  * @param answerMs until when each open request has its answer
  * @param endMs when each connection ends, whatever has been read on it in part
  */
--- a/src/main/java/willowyoke/net/PollTimes.java
+++ b/src/main/java/willowyoke/net/PollTimes.java
@@ -55,7 +55,7 @@
         return (workSinceNanos == 0 ? 0 : System.nanoTime() - workSinceNanos) / 1e6;
     }
 
-    /** Whether the loop has worked for so long since its last poll that what that found may be out of date. */
+    /** Whether the loop has worked for so long since its last poll that this may be out of date. */
     boolean isPollOld() {
         return pollAgeMs() * 1e6 >= LONG_WORK_NANOS;
     }
--- a/src/main/java/willowyoke/net/ServerPool.java
+++ b/src/main/java/willowyoke/net/ServerPool.java
@@ -361,8 +361,8 @@
 
     /**
      * Writes the queued attempts. The sockets have been polled since they were queued, so a client that
-     * closed its connection right behind its request is known to be gone by now, unless that poll is some time
-     * ago.
+     * closed its connection right behind its request is known to be gone by now, unless that poll is some
+     * time ago.
      */
     private void writeQueued() {
         try {
@@ -511,7 +511,7 @@
             writeQueue.add(this);
         }
 
-        /** Sees what has come since the last poll: the client's close, an answer too many, the server's end. */
+        /** Sees what has come since the last poll: the client's close, a surplus answer, the server's end. */
         private void lookAtBothSides(Attempt attempt) {
             if (attempt.request != null && node.isPollOld()) {
                 attempt.request.slot.lookForClose();
--- a/src/test/java/willowyoke/net/EdgeNodeFixture.java
+++ b/src/test/java/willowyoke/net/EdgeNodeFixture.java
@@ -232,7 +232,7 @@
         };
     }
 
-    /** Has the event loop blocked between the poll that comes before the next attempt's write, and the write. */
+    /** Blocks the event loop between the poll that comes before the next attempt's write, and the write. */
     void blockLoopBeforeWrite() {
         loopBlocked = new CountDownLatch(1);
         releaseLoop = new CountDownLatch(1);
