--- a/fleet/lab/src/main/java/barleyfall/lab/run/SoakExperiment.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/run/SoakExperiment.java
@@ -113,8 +113,8 @@
             name = "open"
             rate = "20/s"
             """, seed, LENGTH_MS, seed, edges, servers, cores,
-            crowded ? MAX_DESCRIPTORS : 2 * MAX_DESCRIPTORS, 1000 + random.nextInt(10_000), random.nextBoolean() ? "kind = \"agents\"" : "replicas = 3",
-            requestsPerSecond));
+            crowded ? MAX_DESCRIPTORS : 2 * MAX_DESCRIPTORS, 1000 + random.nextInt(10_000),
+            random.nextBoolean() ? "kind = \"agents\"" : "replicas = 3", requestsPerSecond));
         addClass("read", 0.5, deadlineMs, "safe");
         addClass("keyed", 0.25, deadlineMs, "keyed");
         addClass("once", 0.25, deadlineMs, "unsafe");
--- a/src/main/java/willowyoke/net/ClientListener.java
+++ b/src/main/java/willowyoke/net/ClientListener.java
@@ -148,8 +148,8 @@
     /**
      * Ends the connections on which nothing is owed, one after the other, over a time: the least recently
      * used first, as its client is the least likely to be writing, while those in use end with their next
-     * answers. One that has carried no command yet stays open, as its first one may be on its way and no client sends
-     * that again; it ends after its answer, or when it stays silent.
+     * answers. One that has carried no command yet stays open, as its first one may be on its way and no
+     * client sends that again; it ends after its answer, or when it stays silent.
      */
     void endIdleConnections(double withinMs) {
         ending = true;
--- a/src/test/java/willowyoke/net/ConnectionEndTest.java
+++ b/src/test/java/willowyoke/net/ConnectionEndTest.java
@@ -414,6 +414,19 @@
         assertEquals(BUSY, client.readMessage());
     }
 
+    /** The same where the idle connections of a drain are ended now. */
+    @Test void requestThatComesRightBeforeIdleEndIsAnswered() throws Exception {
+        start(flagServer.address());
+        Peer.Connection client = usedClient();
+        blockLoopInDrain(600, false);
+        drain();
+        assertTrue(loopBlocked.await(10, TimeUnit.SECONDS));
+        client.write(callCommand(1, "refuse", 20_000));
+        releaseLoop.countDown();
+        assertEquals(BUSY, client.readMessage());
+        assertTrue(client.reachesEnd());
+    }
+
     /** A drain ended a connection some time after its last answer, over the client's next request. */
     @Test void lastAnswerOfDrainComesWithTheEnd() throws Exception {
         start(flagServer.address());
