--- a/src/main/java/willowyoke/net/ClientListener.java
+++ b/src/main/java/willowyoke/net/ClientListener.java
@@ -146,10 +146,10 @@
     }
 
     /**
-     * Ends the connections on which nothing is owed, one after the other, over a time: the least recently used
-     * first, as its client is the least likely to be writing, while those in use end with their next answers.
-     * One that has carried no command yet stays open, as its first one may be on its way and no client sends
-     * that again; it ends after its answer, or when it stays silent.
+     * Ends the connections on which nothing is owed, one after the other, over a time: the least recently
+     * used first, as its client is the least likely to be writing, while those in use end with their next
+     * answers. One that has carried no command yet stays open, as its first one may be on its way and no
+     * client sends that again; it ends after its answer, or when it stays silent.
      */
     void endIdleConnections(double withinMs) {
         ending = true;
@@ -205,6 +205,11 @@
         return connections.isEmpty();
     }
 
+    /** How many connections are open. */
+    int connectionCount() {
+        return connections.size();
+    }
+
     /** Resumes reading from connections on which it had stopped for want of memory. */
     void resumeReading() {
         for (ClientConnection connection : connections) {
