--- a/review/build.sh
+++ b/review/build.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
-# Builds what the cases start: the stand-ins here, the edge node, and the list service with its command.
+# Builds what the cases start: the stand-ins here, then the edge node, and the list service with its command.
 cd "$(dirname "$0")/.." || exit 2
-mvn -o -q -f fleet -DskipTests package || mvn -q -f fleet -DskipTests package || exit 1
 mkdir -p review/target
-exec javac -d review/target review/lib/*.java review/[123]/*.java
+javac -d review/target review/lib/*.java review/[123]/*.java || exit 1
+mvn -o -q -f fleet -DskipTests package || mvn -q -f fleet -DskipTests package
