--- a/review/lib2/Rig.java
+++ b/review/lib2/Rig.java
@@ -169,9 +169,6 @@
         int groupSize = 2;
         int memoryMb = 192;
         int sockets = 1024;
-        boolean counter = true;
-        int sendCap = 6;
-        double keepAliveMs = 15_000;
         final List<String> classes = new ArrayList<>();
         final List<String> plans = new ArrayList<>();
 
@@ -195,13 +192,13 @@
                 + "\"contract\":{\"ask_within\":10000,\"cold_share\":0.28,\"drain_grace\":1000,"
                 + "\"grace_to_answer\":16,\"overload_factor\":3,\"overload_for\":2000,\"warm_after\":17000},"
                 + "\"family_info\":{\"count_limit\":30,\"counter_price\":0.01,\"meter_period\":0,"
-                + "\"most_units\":6,\"peer_in_per_s\":0,\"shared_counter\":" + counter + ",\"trued_up\":false},"
+                + "\"most_units\":6,\"peer_in_per_s\":0,\"shared_counter\":true,\"trued_up\":false},"
                 + "\"feedback\":{\"via\":\"answers\",\"fields\":[\"throughput\",\"outstanding\",\"utilization\"]},"
                 + "\"goal\":{\"whole\":0.55,\"worst_class\":0,\"worst_tenant\":0.25,\"worst_window\":0.2},"
-                + "\"limits\":{\"cancelling\":true,\"connect_timeout\":250,\"keepalive\":" + keepAliveMs
-                + ",\"max_open\":20000,\"max_retry_after\":500,\"parallel_tries\":true,\"peers\":false,"
-                + "\"probing\":true,\"retry_after\":true,\"send_cap\":" + sendCap
-                + ",\"streams_per_conn\":32,\"cpu_us_per_request\":0,\"cpu_us_per_s\":400000},"
+                + "\"limits\":{\"cancelling\":true,\"connect_timeout\":250,\"keepalive\":15000,"
+                + "\"max_open\":20000,\"max_retry_after\":500,\"parallel_tries\":true,\"peers\":false,"
+                + "\"probing\":true,\"retry_after\":true,\"send_cap\":6,"
+                + "\"streams_per_conn\":32,\"cpu_us_per_request\":0,\"cpu_us_per_s\":400000},"
                 + "\"prices\":{\"connection\":0,\"cross_zone\":0.01,\"discovery\":0,\"handshake\":0,"
                 + "\"late_fail\":0.08,\"moves\":0,\"origin\":0,\"peer\":0,\"probe\":0.01,\"waste\":0.05},"
                 + "\"request_classes\":[" + String.join(",", classes) + "],"
@@ -210,7 +207,7 @@
     }
 
     /** An edge node: a process started with the command of the deploy file. */
-    static class Edge {
+    static final class Edge {
         final Rig rig;
         final int rank;
         final int port;
@@ -274,42 +271,10 @@
             }
         }
 
-        /** Sends one line to the second address; returns what comes back. */
-        String control(String line) throws IOException {
-            try (Socket socket = connect(controlPort, 3000)) {
-                socket.getOutputStream().write((line + "\n").getBytes(StandardCharsets.US_ASCII));
-                return new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII).strip();
-            }
-        }
-
-        void signal(String name) throws IOException {
-            try {
-                new ProcessBuilder("/bin/kill", "-" + name, Long.toString(process.pid())).inheritIO().start()
-                    .waitFor(5, TimeUnit.SECONDS);
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-            rig.log("n" + rank + " gets SIG" + name);
-        }
-
         boolean alive() {
             return process.isAlive();
         }
 
-        /** Resident memory in KiB, without what is shared with files on disk that other processes map, too. */
-        long residentKb() {
-            try {
-                for (String line : Files.readAllLines(Path.of("/proc/" + process.pid() + "/status"))) {
-                    if (line.startsWith("VmRSS:")) {
-                        return Long.parseLong(line.replaceAll("[^0-9]", ""));
-                    }
-                }
-            } catch (IOException gone) {
-                return 0;
-            }
-            return 0;
-        }
-
         void kill() {
             if (process != null) {
                 process.destroyForcibly();
@@ -411,10 +376,6 @@
             }
             return words;
         }
-
-        InputStream in() {
-            return in;
-        }
     }
 
     // ---- stand-ins of the platform ----
@@ -658,8 +619,8 @@
 
     /**
      * One request on a connection that carries nothing else meanwhile. A client waits for its answer; the
-     * request is lost when none has come half a second after its time (and the slack of 50 ms), or when the
-     * connection ends without one although it has carried a byte or an answer before.
+     * request is lost when none has come half a second after its time (and the slack of 50 ms). A connection
+     * that ends without one is told apart: before its first answer, and after.
      */
     String request(Socket socket, Reader reader, byte[] command, String id, int timeoutMs, boolean first)
         throws IOException {
