Remove the timers of ended requests when there are many of them

A client may give a request an hour. The module's timers of a request stayed until they were due, and with them the request and its customer, however soon it was answered: memory grew for as long as such requests came.

They did nothing, and fewer of them stay as before, so the module still runs at the same times.

--- a/fleet/lab/src/test/java/barleyfall/lab/edge/PeerCostTest.java
+++ b/fleet/lab/src/test/java/barleyfall/lab/edge/PeerCostTest.java
@@ -46,7 +46,7 @@
 
     /** Each new name left state for half a minute: the heap was full, and the node never answered again. */
     @ParameterizedTest
-    @CsvSource({"1, 1, 1, 20", "4, 1, 20, 20", "20, 1, 1, 6000", "4, 300000, 2147483647, 3600000"})
+    @CsvSource({"1, 1, 1, 20", "4, 1, 20, 20", "20, 1, 1, 6000", "8, 1, 1, 3600000", "4, 300000, 2147483647, 3600000"})
     void everNewCustomersCostNoOtherClient(int connections, int units, int spread, int timeoutMs)
         throws Exception {
         start();
--- a/src/main/java/willowyoke/ActiveRequest.java
+++ b/src/main/java/willowyoke/ActiveRequest.java
@@ -22,6 +22,10 @@
     boolean streaming;
     /** Attempts in flight. */
     int inFlight;
+    /** It is finished, and no attempt is in flight. */
+    boolean ended;
+    /** Timers that are set for it. */
+    int timerCount;
 
     ActiveRequest(Gateway.Request arrival, ClassStats requestClass, Customer customer, int maxAttempts,
         double nowMs, long serial) {
--- a/src/main/java/willowyoke/GatewayPolicy.java
+++ b/src/main/java/willowyoke/GatewayPolicy.java
@@ -133,8 +133,7 @@
     private final Map<String, TrackedServer> servers = new TreeMap<>();
     /** Counter calls in flight by counter id; answers for one id come in the order of the calls. */
     private final Map<Long, ArrayDeque<CounterCall>> counterCalls = new HashMap<>();
-    private final PriorityQueue<Timer> timers = new PriorityQueue<>(
-        Comparator.<Timer>comparingDouble(timer -> timer.dueMs).thenComparingLong(timer -> timer.serial));
+    private final TimerQueue timers = new TimerQueue();
     /** When the earliest timer of the host fires; others that were set before it may still fire later. */
     private double armedTimerMs = Double.MAX_VALUE;
     /** Sends a second to warm servers, for a subset share of 1 (EWMA). */
@@ -198,12 +197,6 @@
     /** A call to the shared counter whose answer is outstanding. */
     private record CounterCall(Customer customer, CounterCallKind kind, double amount) { }
 
-    /** What a timer does when it is due; RETRY without a request only wakes dispatch. */
-    private enum TimerKind { QUOTA_PERIOD, PENDING_EXPIRY, DEADLINE, ATTEMPT_LATE, RETRY, SUBSCRIBE }
-
-    /** A due time with its work; request is null where the timer belongs to none. */
-    private record Timer(double dueMs, long serial, TimerKind kind, ActiveRequest request) { }
-
     GatewayPolicy(Gateway.Settings settings, long seed, double nowMs, Gateway.Actions actions) {
         this.actions = actions;
         random = new Random(seed);
@@ -211,7 +204,7 @@
         applySettings(settings);
         callsPerPeriod = Math.max(1, INITIAL_COUNTER_CALLS_PER_PERIOD / settings.gatewayCount());
         callsLeft = callsPerPeriod;
-        schedule(TimerKind.QUOTA_PERIOD, nextPeriodMs(), null);
+        schedule(TimerQueue.Kind.QUOTA_PERIOD, nextPeriodMs(), null);
         if (settings.discoveryOnRequest()) {
             this.actions.subscribe();
         }
@@ -378,10 +371,10 @@
         request.targetMs = Math.min(request.targetMs, deadlineMs);
         if (waiting) {
             request.customer.pending.add(request);
-            schedule(TimerKind.PENDING_EXPIRY, Math.max(nowMs + settings.tickMs(), expiryMs(request)),
+            schedule(TimerQueue.Kind.PENDING_EXPIRY, Math.max(nowMs + settings.tickMs(), expiryMs(request)),
                 request);
         } else {
-            schedule(TimerKind.DEADLINE, deadlineMs, request);
+            schedule(TimerQueue.Kind.DEADLINE, deadlineMs, request);
         }
     }
 
@@ -405,7 +398,7 @@
     @Override public void discoveryFailed(double timeMs) {
         advanceTo(timeMs);
         if (settings.discoveryOnRequest()) {
-            schedule(TimerKind.SUBSCRIBE, nowMs + subscribeBackoffMs * (0.5 + random.nextDouble()), null);
+            schedule(TimerQueue.Kind.SUBSCRIBE, nowMs + subscribeBackoffMs * (0.5 + random.nextDouble()), null);
             subscribeBackoffMs = Math.min(2 * subscribeBackoffMs, 32 * QUOTA_PERIOD_MS);
         }
     }
@@ -447,7 +440,7 @@
         }
         dispatchPending();
         if (customer.pending.contains(request)) {
-            schedule(TimerKind.PENDING_EXPIRY, Math.max(nowMs + settings.tickMs(), expiryMs(request)),
+            schedule(TimerQueue.Kind.PENDING_EXPIRY, Math.max(nowMs + settings.tickMs(), expiryMs(request)),
                 request);
         }
     }
@@ -519,7 +512,7 @@
         advanceTo(timeMs);
         dispatchPending();
         if (isArmedTimer) {
-            armedTimerMs = timers.peek().dueMs;
+            armedTimerMs = timers.nextDueMs();
             actions.setTimer(Math.max(0, armedTimerMs - nowMs), 0);
         }
     }
@@ -612,7 +605,7 @@
      * customer.
      */
     private void startPeriod() {
-        schedule(TimerKind.QUOTA_PERIOD, nextPeriodMs(), null);
+        schedule(TimerQueue.Kind.QUOTA_PERIOD, nextPeriodMs(), null);
         double warmShare = usableServers.stream().filter(server -> warmth(server) >= 1)
             .mapToDouble(server -> server.subsetShare).sum();
         if (warmShare > 0) {
@@ -758,7 +751,7 @@
         for (double unit = grantedNow + 1; unit <= granted; unit++) {
             customer.scheduledCredits.add(new double[] {nowMs + (unit - levelBefore) / ratePerMs, 1});
             customer.scheduledUnits++;
-            schedule(TimerKind.RETRY, nowMs + (unit - levelBefore) / ratePerMs, null);
+            schedule(TimerQueue.Kind.RETRY, nowMs + (unit - levelBefore) / ratePerMs, null);
         }
         customer.bucketLevel = customer.estimatedLevel = levelBefore - granted;
         if (customer.lastTotalEpoch == customer.claimEpoch && customer.addedUnits > 0) {
@@ -852,7 +845,7 @@
             callCounter(customer, slotCounterId(customer, customer.requestedSlotEpoch), -1,
                 CounterCallKind.RELEASE_SLOT);
             customer.nextCallMs = nowMs + RETRY_RECHECK_MS;
-            schedule(TimerKind.RETRY, customer.nextCallMs, null);
+            schedule(TimerQueue.Kind.RETRY, customer.nextCallMs, null);
         }
     }
 
@@ -1002,7 +995,7 @@
                     customer.credits < 0 ? -customer.credits : request.arrival.units();
                 customer.credits = Math.max(0, customer.credits);
             }
-            schedule(TimerKind.DEADLINE, request.deadlineMs, request);
+            schedule(TimerQueue.Kind.DEADLINE, request.deadlineMs, request);
             send(request, server);
             blocked = 0;
         }
@@ -1020,7 +1013,7 @@
         sendTokensRefilledMs = nowMs;
         if (sendTokens < 1 && nowMs >= sendWakeMs) {
             sendWakeMs = nowMs + Math.max(settings.tickMs(), (1 - sendTokens) / sendRatePerSecond * 1000);
-            schedule(TimerKind.RETRY, sendWakeMs, null);
+            schedule(TimerQueue.Kind.RETRY, sendWakeMs, null);
         }
         return sendTokens >= 1;
     }
@@ -1265,7 +1258,7 @@
         warmSendsInPeriod += warmth(server) >= 1 ? 1 : 0;
         server.virtualTime += server.subsetShare > 0 ? 1 / (server.subsetShare * subsetSize) : 1;
         sendTokens--;
-        schedule(TimerKind.ATTEMPT_LATE, nowMs + request.requestClass.definition.aimMs() / 2, request);
+        schedule(TimerQueue.Kind.ATTEMPT_LATE, nowMs + request.requestClass.definition.aimMs() / 2, request);
     }
 
     /**
@@ -1281,7 +1274,7 @@
         // the send rate is the retry budget too, as first attempts and retries take from the same tokens
         TrackedServer server = hasSendToken() ? chooseServer(request) : null;
         if (server == null) {
-            schedule(TimerKind.RETRY, nowMs + RETRY_RECHECK_MS, request);
+            schedule(TimerQueue.Kind.RETRY, nowMs + RETRY_RECHECK_MS, request);
         } else {
             send(request, server);
         }
@@ -1313,8 +1306,8 @@
         }
         request.finished = true;
         removeFromPending(request);
-        if (request.inFlight == 0) {
-            requests.remove(request.arrival.id());
+        if (request.inFlight == 0 && requests.remove(request.arrival.id()) != null) {
+            timers.requestEnded(request);
         }
     }
 
@@ -1420,9 +1413,14 @@
 
     // ---- timers ----
 
+    /** How many timers are set. */
+    int timerCount() {
+        return timers.size();
+    }
+
     /** Adds a timer, and arms the host's one where this is the earliest. */
-    private void schedule(TimerKind kind, double dueMs, ActiveRequest request) {
-        timers.add(new Timer(dueMs, nextSerial++, kind, request));
+    private void schedule(TimerQueue.Kind kind, double dueMs, ActiveRequest request) {
+        timers.add(new TimerQueue.Timer(dueMs, nextSerial++, kind, request));
         if (dueMs < armedTimerMs - 1e-6) {
             armedTimerMs = dueMs;
             actions.setTimer(Math.max(0, armedTimerMs - nowMs), 0);
@@ -1432,10 +1430,9 @@
     /** Begins an event: advances the clock, which never goes back, and runs the timers that are due. */
     private void advanceTo(double timeMs) {
         nowMs = Math.max(nowMs, timeMs);
-        while (!timers.isEmpty() && timers.peek().dueMs <= nowMs) {
-            Timer timer = timers.poll();
-            ActiveRequest request = timer.request;
-            switch (timer.kind) {
+        for (TimerQueue.Timer timer = timers.pollDue(nowMs); timer != null; timer = timers.pollDue(nowMs)) {
+            ActiveRequest request = timer.request();
+            switch (timer.kind()) {
                 case QUOTA_PERIOD -> startPeriod();
                 case SUBSCRIBE -> actions.subscribe();
                 case PENDING_EXPIRY -> {
--- a/src/test/java/willowyoke/RulesTest.java
+++ b/src/test/java/willowyoke/RulesTest.java
@@ -444,6 +444,24 @@
         assertNull(harness.lastServerOf(99));
     }
 
+    /** Each answered request left its timers, and with them itself, for as long as its client would wait. */
+    @Test void answeredRequestsLeaveNoTimersWithoutEnd() {
+        PolicyHarness harness = PolicyHarness.withoutCounter().start().servers(4);
+        int answered = 0;
+        int highest = 0;
+        for (int id = 1; id <= 20_000; id++) {
+            harness.advanceTo(harness.nowMs + 5);
+            harness.policy.requestArrived(harness.nowMs,
+                new Gateway.Request(id, "read", "big", "c" + id, 3_600_000, 1, 1, 0, false));
+            answered += harness.actionCount("send ");
+            harness.answerNewSends();
+            harness.clearActionLog();
+            highest = Math.max(highest, harness.policy.timerCount());
+        }
+        assertTrue(answered > 10_000, answered + " requests were answered");
+        assertTrue(highest < 2 * TimerQueue.MAX_ENDED, highest + " timers");
+    }
+
     /** The decisions hold to their events: no library, socket, clock, file, thread or unseeded chance. */
     @Test void policySourcesUseNothingButTheirEventsAndNameTheirInterface() throws Exception {
         Pattern allowedImport =
@@ -454,7 +472,7 @@
             + "|new (Random|Timer)\\(\\)");
         List<Path> sources = policySources();
         assertEquals(Set.of("GatewayPolicy", "ActiveRequest", "Attempt", "ClassStats", "Customer",
-            "CustomerTable", "TokenBucket", "TrackedServer", "Subset", "MemoryPolicy"), sources.stream()
+            "CustomerTable", "TimerQueue", "TokenBucket", "TrackedServer", "Subset", "MemoryPolicy"), sources.stream()
             .map(source -> source.getFileName().toString().replace(".java", "")).collect(Collectors.toSet()));
         for (Path source : sources) {
             List<String> lines = Files.readAllLines(source);
