Read numbers from peers in a time by their length, not by its square

DecimalText checks the form in one pass and has Double.parseDouble read the number; it serves the counter's totals and load reports too.

--- a/src/main/java/willowyoke/net/CallCommand.java
+++ b/src/main/java/willowyoke/net/CallCommand.java
@@ -4,7 +4,6 @@
 import io.netty.handler.codec.redis.ArrayRedisMessage;
 import io.netty.handler.codec.redis.FullBulkStringRedisMessage;
 import io.netty.handler.codec.redis.RedisMessage;
-import java.math.BigDecimal;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -109,13 +108,12 @@
         }
     }
 
-    /** Parses a decimal number. Double.parseDouble would also accept NaN, hexadecimal and suffixes. */
     private static double parseDecimal(String value) {
-        try {
-            return new BigDecimal(value).doubleValue();
-        } catch (NumberFormatException e) {
+        double number = DecimalText.parse(value);
+        if (Double.isNaN(number)) {
             throw new IllegalArgumentException("a number is malformed");
         }
+        return number;
     }
 
     /** Returns a copy of the command for a flag server, in which the timeout is the remaining time. */
--- a/src/main/java/willowyoke/net/CounterClient.java
+++ b/src/main/java/willowyoke/net/CounterClient.java
@@ -142,18 +142,6 @@
         return BigDecimal.valueOf(Math.rint(amount * 1000) / 1000).stripTrailingZeros().toPlainString();
     }
 
-    /**
-     * Parses a decimal number; NaN where the text is not one. Double.parseDouble would also accept "NaN",
-     * hexadecimal numbers and "1f".
-     */
-    private static double parseDecimal(String text) {
-        try {
-            return text == null ? Double.NaN : new BigDecimal(text).doubleValue();
-        } catch (NumberFormatException e) {
-            return Double.NaN;
-        }
-    }
-
     /**
      * Reports a timeout for each call that has waited too long. One timer serves all calls, which have the
      * same timeout: with a timer per call, answered ones would wake the event loop once more.
@@ -300,8 +288,9 @@
                     report(call, Gateway.Outcome.BUSY, 0); // nothing was added
                     return true;
                 }
-                double total = parseDecimal(RespCodec.text(msg));
-                boolean valid = Double.isFinite(total);
+                String text = RespCodec.text(msg);
+                double total = text == null ? Double.NaN : DecimalText.parse(text);
+                boolean valid = !Double.isNaN(total);
                 report(call, valid ? Gateway.Outcome.OK : Gateway.Outcome.RESET, valid ? total : 0);
                 return valid;
             }
--- a/src/main/java/willowyoke/net/LoadReport.java
+++ b/src/main/java/willowyoke/net/LoadReport.java
@@ -20,7 +20,7 @@
         boolean fieldFound = false;
         for (String pair : text.split(",", -1)) {
             int separator = pair.indexOf('=');
-            if (separator <= 0 || Double.isNaN(number(pair.substring(separator + 1)))) {
+            if (separator <= 0 || Double.isNaN(DecimalText.parse(pair.substring(separator + 1)))) {
                 return false;
             }
             fieldFound |= indexOf(pair.substring(0, separator), fields) >= 0;
@@ -43,7 +43,7 @@
             if (separator > 0) {
                 int index = indexOf(pair.substring(0, separator), fields);
                 if (index >= 0) {
-                    values[index] = number(pair.substring(separator + 1));
+                    values[index] = DecimalText.parse(pair.substring(separator + 1));
                 }
             }
         }
@@ -54,12 +54,4 @@
         int index = fields.indexOf(key);
         return index < 0 ? fields.indexOf(FIELD_BY_REPORT_KEY.getOrDefault(key, key)) : index;
     }
-
-    private static double number(String text) {
-        try {
-            return Double.parseDouble(text);
-        } catch (NumberFormatException e) {
-            return Double.NaN;
-        }
-    }
 }
