Keep the pairs of a request only in its own buffer, and pass them on unchanged

Open requests with long lists of pairs took two to four times what the memory accounts count, as CallCommand kept the text on the heap; and bytes that are no UTF-8 reached the flag server as others.

CallCommand keeps only where the value of d stands; the pairs of an attempt are copied around it from the command's buffer, at their exact size.

pairsThatAreNoTextArePassedOnUnchanged failed before and passes.

--- a/src/main/java/willowyoke/net/CallCommand.java
+++ b/src/main/java/willowyoke/net/CallCommand.java
@@ -1,20 +1,24 @@
 package willowyoke.net;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.handler.codec.redis.ArrayRedisMessage;
 import io.netty.handler.codec.redis.FullBulkStringRedisMessage;
 import io.netty.handler.codec.redis.RedisMessage;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 
 /**
- * A client's CALL.GET or CALL.POST command, parsed: the request's id, the customer, the pairs of names and
- * values that the decision module uses, and the text of the pairs before and after the value of the timeout
- * (pair d).
+ * A client's CALL.GET or CALL.POST command, parsed: the request's id, the customer, and the pairs of names and
+ * values that the decision module uses. The pairs themselves stay in the command alone.
+ *
+ * @param timeoutStart where the value of the timeout (pair d) begins in the pairs, in bytes
+ * @param timeoutEnd where it ends
  */
 record CallCommand(String requestId, String customer, String requestClass, String plan, double timeoutMs,
-    int units, int customerGatewayCount, int firstGateway, boolean clientRetry, String beforeTimeout,
-    String afterTimeout) {
+    int units, int customerGatewayCount, int firstGateway, boolean clientRetry, int timeoutStart,
+    int timeoutEnd) {
 
     private static final int CUSTOMER_INDEX = 1;
     private static final int REQUEST_ID_INDEX = 2;
@@ -22,6 +26,7 @@
     private static final int BODY_INDEX = 4;
     /** Radix of customers and request ids, and the largest number of their digits. */
     private static final int HEX_RADIX = 16;
+    private static final int LONGEST_USED_NAME = "spread".length();
     /** Customers are numbers below this. */
     private static final long CUSTOMER_LIMIT = 1L << 33;
 
@@ -43,7 +48,14 @@
             // A flag server would reject it.
             throw new IllegalArgumentException("customer or id is malformed");
         }
-        String pairs = RespCodec.text(parts.get(PAIRS_INDEX));
+        return parsePairs(customer, requestId, pairsOf(command));
+    }
+
+    private static ByteBuf pairsOf(ArrayRedisMessage command) {
+        return ((FullBulkStringRedisMessage) command.children().get(PAIRS_INDEX)).content();
+    }
+
+    private static CallCommand parsePairs(String customer, String requestId, ByteBuf pairs) {
         String requestClass = null;
         String plan = null;
         double timeoutMs = Double.NaN;
@@ -53,26 +65,27 @@
         int timeoutStart = -1;
         int timeoutEnd = -1;
         boolean clientRetry = false;
-        for (int start = 0; start < pairs.length();) {
-            int comma = pairs.indexOf(',', start);
-            int end = comma < 0 ? pairs.length() : comma;
-            int equals = pairs.indexOf('=', start);
-            if (equals < 0 || equals >= end) {
+        int first = pairs.readerIndex();
+        for (int start = first; start < pairs.writerIndex();) {
+            int comma = pairs.indexOf(start, pairs.writerIndex(), (byte) ',');
+            int end = comma < 0 ? pairs.writerIndex() : comma;
+            int equals = pairs.indexOf(start, end, (byte) '=');
+            if (equals < 0) {
                 throw new IllegalArgumentException("name=value expected");
             }
-            String value = pairs.substring(equals + 1, end);
-            switch (pairs.substring(start, equals)) {
-                case "c" -> requestClass = value;
-                case "t" -> plan = value;
+            int value = equals + 1;
+            switch (usedName(pairs, start, equals)) {
+                case "c" -> requestClass = text(pairs, value, end);
+                case "t" -> plan = text(pairs, value, end);
                 case "d" -> {
-                    timeoutMs = parseDecimal(value);
-                    timeoutStart = equals + 1;
-                    timeoutEnd = end;
+                    timeoutMs = parseDecimal(text(pairs, value, end));
+                    timeoutStart = value - first;
+                    timeoutEnd = end - first;
                 }
-                case "units" -> units = parseInteger(value);
-                case "spread" -> customerGatewayCount = parseInteger(value);
-                case "first" -> firstGateway = parseInteger(value);
-                case "r" -> clientRetry = value.equals("1");
+                case "units" -> units = parseInteger(text(pairs, value, end));
+                case "spread" -> customerGatewayCount = parseInteger(text(pairs, value, end));
+                case "first" -> firstGateway = parseInteger(text(pairs, value, end));
+                case "r" -> clientRetry = text(pairs, value, end).equals("1");
                 default -> { } // other pairs are only passed on
             }
             start = end + 1;
@@ -82,8 +95,16 @@
             throw new IllegalArgumentException("c, t and d are needed");
         }
         return new CallCommand(requestId, customer, requestClass, plan, timeoutMs, units,
-            customerGatewayCount, firstGateway, clientRetry, pairs.substring(0, timeoutStart),
-            pairs.substring(timeoutEnd));
+            customerGatewayCount, firstGateway, clientRetry, timeoutStart, timeoutEnd);
+    }
+
+    /** Returns the name of a pair; an empty text for one that is longer than all that are used here. */
+    private static String usedName(ByteBuf pairs, int start, int end) {
+        return end - start > LONGEST_USED_NAME ? "" : text(pairs, start, end);
+    }
+
+    private static String text(ByteBuf pairs, int start, int end) {
+        return pairs.toString(start, end - start, StandardCharsets.UTF_8);
     }
 
     /** Returns how much memory the arguments of a command take, in bytes. */
@@ -121,10 +142,20 @@
         ByteBufAllocator alloc) {
         List<RedisMessage> parts = new ArrayList<>(command.children().size());
         for (int i = 0; i < command.children().size(); i++) {
-            parts.add(i == PAIRS_INDEX
-                ? RespCodec.bulk(alloc, beforeTimeout + Math.max(1, (long) remainingMs) + afterTimeout)
+            parts.add(i == PAIRS_INDEX ? pairsWithTimeout(pairsOf(command), remainingMs, alloc)
                 : ((FullBulkStringRedisMessage) command.children().get(i)).retainedDuplicate());
         }
         return new ArrayRedisMessage(parts);
     }
+
+    private FullBulkStringRedisMessage pairsWithTimeout(ByteBuf pairs, double remainingMs,
+        ByteBufAllocator alloc) {
+        byte[] timeout = Long.toString(Math.max(1, (long) remainingMs)).getBytes(StandardCharsets.US_ASCII);
+        int first = pairs.readerIndex();
+        int behindTimeout = pairs.readableBytes() - timeoutEnd;
+        ByteBuf changed = alloc.directBuffer(timeoutStart + timeout.length + behindTimeout);
+        changed.writeBytes(pairs, first, timeoutStart).writeBytes(timeout)
+            .writeBytes(pairs, first + timeoutEnd, behindTimeout);
+        return new FullBulkStringRedisMessage(changed);
+    }
 }
--- a/src/test/java/willowyoke/net/EdgeNodeTest.java
+++ b/src/test/java/willowyoke/net/EdgeNodeTest.java
@@ -301,6 +301,19 @@
         expectEvent("ended 1 0 OK true");
     }
 
+    /** Bytes that are no UTF-8 reached the server as others, as pairs were kept as text on the heap. */
+    @Test void pairsThatAreNoTextArePassedOnUnchanged() throws Exception {
+        start();
+        Peer.Connection client = client();
+        String key = "\u00ff\u00fe\u0080\u0000";
+        client.writeCommand("CALL.POST", CUSTOMER, "9b1f",
+            "k=" + key + ",c=read,t=p,d=900,units=2,spread=3,first=1," + key + "=", "body");
+        expectArrival(1, "read");
+        String pairs = serverConnection.readMessage().get(3);
+        assertEquals("k=" + key + ",c=read,t=p,d=X,units=2,spread=3,first=1," + key + "=",
+            pairs.replaceAll(",d=\\d+", ",d=X"));
+    }
+
     /** Answers keep the order of the commands, whichever server answers first. */
     @Test void answersPipelinedCommandsInOrder() throws Exception {
         start();
