Pass long values on instead of cutting them off for a command behind them

A value of over 1 MiB with a command behind it was cut off at each attempt and its client refused; one that was still being written at its request's time was cut off too, if a command was behind it or it was not its turn.

A value is held for the commands behind it for 1 s and 1 MiB, then streamed; 20 ms before its request's time one that waits for its turn takes the place of the answer. If it breaks before its client has a part, an error takes its place; requests behind one that breaks later are ended and counted.

The check answered_before_close allows for the commands behind a broken value, which have no place in the stream, and for no others.

--- a/src/main/java/willowyoke/net/AnswerSlot.java
+++ b/src/main/java/willowyoke/net/AnswerSlot.java
@@ -135,10 +135,20 @@
         connection.longValueReceived(this);
     }
 
-    /** Adds the next chunk; false where the value is longer than may be held until its turn. */
-    boolean addChunk(BulkStringRedisContent chunk) {
+    /** Adds the next chunk. */
+    void addChunk(BulkStringRedisContent chunk) {
         longValue.add(chunk);
-        return connection.longValueReceived(this);
+        connection.longValueReceived(this);
+    }
+
+    /** Passes the long value on from here on as it is received, once it is its turn. */
+    void streamLongValue() {
+        connection.streamLongValue(this);
+    }
+
+    /** Whether all commands before this one have their answers. */
+    boolean isItsTurn() {
+        return connection.isTurnOf(this);
     }
 
     /** The long value, or null. */
@@ -159,9 +169,17 @@
         }
     }
 
-    /** Ends the connection, because the rest of a value that the client has in part will not come. */
+    /**
+     * Handles that the rest of a streamed value will not come: an error takes its place, or, where the client
+     * has a part of it, the connection ends.
+     */
     void abortStream() {
-        connection.endBehindBrokenValue();
+        if (longValue.isPassedOn()) {
+            connection.endBehindBrokenValue();
+        } else {
+            dropLongValue();
+            answer(new ErrorRedisMessage("ERR failed"));
+        }
     }
 
     /** Releases what the client will not get any more, as it has gone. */
--- a/src/main/java/willowyoke/net/ClientConnection.java
+++ b/src/main/java/willowyoke/net/ClientConnection.java
@@ -65,6 +65,8 @@
     private boolean closed;
     /** Nothing more is read until a long value has been passed on whole. */
     private boolean pausedForLongValue;
+    /** Commands that were lost with a value that broke when the client had a part of it. */
+    private int commandsBehindBrokenValue;
     /** Answers are being written; writing one may call back that the output takes more. */
     private boolean writingAnswers;
 
@@ -251,28 +253,45 @@
         if (slot.answer() == null) {
             return false;
         }
+        pausedForLongValue = false; // it may have taken the place of a long value
         while (slot.repeatCount() > 0 && output.takesMore()) {
             output.write(slot.takeAnswer(), slot.wantedUntilMs());
         }
         return slot.repeatCount() == 0;
     }
 
-    /**
-     * Passes on what has come of a long value, or holds it until its turn. False where no more of it may be
-     * held.
-     */
-    boolean longValueReceived(AnswerSlot slot) {
+    /** Passes on what has come of a long value, or holds it until its turn, or until it is whole. */
+    void longValueReceived(AnswerSlot slot) {
         LongValue value = slot.longValue();
-        if (slot == slots.peek()) {
-            boolean held = !value.isStreaming() && !isLastCommand(slot);
-            if (held && value.isTooLongToHold()) {
-                return false;
+        if (!isTurnOf(slot)) {
+            if (value.isTooLongToHold()) {
+                value.readSource(false);
             }
+            return;
+        }
+        if (!value.isStreaming() && !isLastCommand(slot) && value.isTooLongToHold()) {
+            streamLongValue(slot);
+        } else {
             writeReadyAnswers();
-        } else if (value.isTooLongToHold()) {
-            value.readSource(false);
         }
-        return true;
+    }
+
+    /** Whether all commands before this one have their answers. */
+    boolean isTurnOf(AnswerSlot slot) {
+        return slot == slots.peek();
+    }
+
+    /**
+     * Passes a long value on from here on as it is received, also with commands behind it: these are lost if
+     * it breaks, but the value would be lost if it were held any longer.
+     */
+    void streamLongValue(AnswerSlot slot) {
+        if (isTurnOf(slot)) {
+            pausedForLongValue = true;
+            updateAutoRead();
+        }
+        slot.longValue().startStreaming();
+        writeReadyAnswers();
     }
 
     /** Writes a long value that is whole or is streamed; returns true with its last part. */
@@ -292,8 +311,9 @@
     }
 
     /**
-     * A long value is streamed where no command is behind it: if it breaks, the connection ends. So nothing
-     * more is read, and it begins when the sockets have been polled once more without a further command.
+     * A long value is streamed at once where no command is behind it: if it breaks, the connection ends. So
+     * nothing more is read, and it begins when the sockets have been polled once more without a further
+     * command.
      */
     private void pauseForLongValue(AnswerSlot slot) {
         slot.longValue().readSource(true);
@@ -451,10 +471,12 @@
         closeSoon();
     }
 
-    /** Ends the connection behind a value of which the client has a part; no other command is open. */
+    /** Ends the connection behind a value of which the client has a part; commands behind it are lost. */
     void endBehindBrokenValue() {
-        slots.forEach(AnswerSlot::release);
-        slots.clear();
+        commandsBehindBrokenValue = slots.stream().skip(1).mapToInt(AnswerSlot::repeatCount).sum()
+            + (owesIncompleteCommand() ? 1 : 0);
+        node.countCommandsBehindBrokenValue(commandsBehindBrokenValue);
+        dropSlots();
         endReason = EndReason.BROKEN_VALUE;
         outputEnded();
         output.whenFlushed(() -> {
@@ -494,7 +516,8 @@
         }
         long unanswered = exchangeCounter.unansweredCommands();
         boolean broken = reason == EndReason.BROKEN_VALUE && exchangeCounter.isAnswerIncomplete();
-        node.invariants().check(Invariant.ANSWERED_BEFORE_CLOSE, unanswered == (broken ? 1 : 0),
+        node.invariants().check(Invariant.ANSWERED_BEFORE_CLOSE,
+            unanswered == (broken ? 1 + commandsBehindBrokenValue : 0),
             () -> unanswered + " commands without an answer, ended as " + reason);
     }
 
@@ -568,6 +591,11 @@
     private void clientGone() {
         closed = true;
         listener.connectionClosed(this);
+        dropSlots();
+    }
+
+    /** Gives up all answers, and cancels the requests that are open. */
+    private void dropSlots() {
         while (!slots.isEmpty()) {
             AnswerSlot slot = slots.poll();
             slot.release();
--- a/src/main/java/willowyoke/net/EdgeNode.java
+++ b/src/main/java/willowyoke/net/EdgeNode.java
@@ -74,6 +74,10 @@
     private static final int MAX_LOGGED_ERRORS = 200;
     /** A streamed value, or output left at a connection's end, is given up without progress for this long. */
     static final double STALL_TIMEOUT_MS = 10_000;
+    /** How long a long value is held for the requests behind it; a client gets its first bytes by then. */
+    private static final double MAX_VALUE_HOLD_MS = 1000;
+    /** How long before its request's deadline a long value that is held takes the place of the answer. */
+    private static final double VALUE_COMMIT_MARGIN_MS = 20;
     /** How long after a failed bind the next one is tried, and for how long in all. */
     private static final long BIND_RETRY_DELAY_MS = 20;
     private static final long BIND_RETRY_TIME_MS = 20_000;
@@ -548,6 +552,11 @@
         metrics.countClientEndPutOff();
     }
 
+    /** Counts commands that were lost behind a value that broke when the client had a part of it. */
+    void countCommandsBehindBrokenValue(int count) {
+        metrics.countCommandsBehindBrokenValue(count);
+    }
+
     /** Counts bytes that a client has sent behind the end of its connection. */
     void countBytesBehindEnd(int bytes) {
         metrics.countBytesBehindEnd(bytes);
@@ -707,9 +716,30 @@
         attempt.firstByteAtMs = nowMs();
         request.lastProgressAtMs = attempt.firstByteAtMs;
         request.slot.beginLongValue(header, source, () -> streamingStarted(attempt));
+        schedule(Math.min(MAX_VALUE_HOLD_MS, heldUntilMs(request) - attempt.firstByteAtMs),
+            () -> streamHeldValue(attempt));
         return true;
     }
 
+    /** Until when a long value may wait for its turn: then its request would be answered otherwise. */
+    private static double heldUntilMs(PendingRequest request) {
+        return request.deadlineMs - VALUE_COMMIT_MARGIN_MS;
+    }
+
+    /** Decides for a long value that is still held, as its server is slow or it is not its turn. */
+    private void streamHeldValue(ServerPool.Attempt attempt) {
+        PendingRequest request = attempt.request;
+        if (request.finished || request.longValueAttempt != attempt || request.streamingAttempt != null) {
+            return;
+        }
+        double leftMs = heldUntilMs(request) - nowMs();
+        if (leftMs > 0 && !request.slot.isItsTurn()) {
+            schedule(leftMs, () -> streamHeldValue(attempt));
+        } else {
+            request.slot.streamLongValue();
+        }
+    }
+
     /** Notes that the client gets a part of a value, and so no other answer from then on. */
     private void streamingStarted(ServerPool.Attempt attempt) {
         PendingRequest request = attempt.request;
@@ -717,25 +747,27 @@
         notifyModule(m -> m.responseStarted(nowMs(), request.id, attempt.number));
     }
 
-    /** Passes on or holds the next chunk of a long value; false where no more of it may be held. */
-    boolean longValueChunk(ServerPool.Attempt attempt, BulkStringRedisContent chunk) {
+    /** Passes on or holds the next chunk of a long value. */
+    void longValueChunk(ServerPool.Attempt attempt, BulkStringRedisContent chunk) {
         PendingRequest request = attempt.request;
         request.lastProgressAtMs = nowMs();
         if (request.finished) {
             ReferenceCountUtil.release(chunk); // it has another answer, or its client has gone
-            return true;
+            return;
         }
         boolean last = chunk instanceof LastBulkStringRedisContent;
-        boolean accepted = request.slot.addChunk(chunk);
-        if (accepted && last) {
+        request.slot.addChunk(chunk);
+        if (last) {
             finish(request);
             metrics.countServed(request.call.requestClass());
         }
-        return accepted;
     }
 
     /** Gives up a streamed value that makes no progress. It may run past the client's timeout otherwise. */
     private void checkStreamProgress(PendingRequest request) {
+        if (!request.slot.isItsTurn()) {
+            request.lastProgressAtMs = nowMs(); // its server is not read
+        }
         if (nowMs() - request.lastProgressAtMs > STALL_TIMEOUT_MS) {
             serverPool.abandon(request.streamingAttempt, Gateway.Outcome.TIMEOUT);
         } else {
@@ -743,7 +775,7 @@
         }
     }
 
-    /** Ends the client's connection, which shows it that the rest of a streamed value will not come. */
+    /** Shows the client that the rest of a streamed value will not come. */
     private void abortStream(PendingRequest request) {
         finish(request);
         metrics.countFailed(request.call.requestClass());
--- a/src/main/java/willowyoke/net/LongValue.java
+++ b/src/main/java/willowyoke/net/LongValue.java
@@ -11,8 +11,8 @@
 import java.util.ArrayDeque;
 
 /**
- * A value that is received in chunks. It is held until it is whole, or until it can be passed on while it
- * arrives: once a part of it has been passed on, a break ends the client's connection.
+ * A value that is received in chunks. It is held until it is whole, or until it is passed on while it arrives:
+ * once a part of it has been passed on, a break ends the client's connection.
  */
 final class LongValue {
     /** The longest value that is held, in bytes. */
@@ -29,6 +29,7 @@
     private int heldBytes;
     private boolean complete;
     private boolean streaming;
+    private boolean passedOn;
 
     LongValue(MemoryAccount.Part memory, ByteBufAllocator alloc, BulkStringHeaderRedisMessage header,
         FlowControl source, Runnable streamingStarted) {
@@ -79,6 +80,7 @@
     /** Takes the next part to be passed on. */
     RedisMessage poll() {
         RedisMessage next = chunks.poll();
+        passedOn = true;
         if (next instanceof ByteBufHolder holder) {
             hold(-partBytes(holder));
         }
@@ -95,6 +97,11 @@
         return streaming;
     }
 
+    /** Whether a part of it has been passed on. */
+    boolean isPassedOn() {
+        return passedOn;
+    }
+
     /** Passes parts on from here on as they are received. */
     void startStreaming() {
         streaming = true;
--- a/src/main/java/willowyoke/net/Metrics.java
+++ b/src/main/java/willowyoke/net/Metrics.java
@@ -33,6 +33,8 @@
     private long clientEndsPutOff;
     /** Bytes that came behind the end of a client's connection, and were read with its close. */
     private long bytesBehindEnd;
+    /** Commands that were lost behind a value that broke when the client had a part of it. */
+    private long commandsBehindBrokenValue;
     /** The longest time between a poll and an end that followed it. */
     private double maxPollAgeAtEndMs;
     /** System calls that failed for a reason of this machine, by the name of the call. */
@@ -98,6 +100,11 @@
         bytesBehindEnd += bytes;
     }
 
+    /** Counts commands that were lost behind a value that broke when the client had a part of it. */
+    void countCommandsBehindBrokenValue(int count) {
+        commandsBehindBrokenValue += count;
+    }
+
     /** Counts a system call that failed for a reason of this machine. */
     void countLocalFailure(String call) {
         localFailures.merge(call, 1L, Long::sum);
@@ -124,6 +131,7 @@
             "client_ends_total{reason=\"" + reason.name().toLowerCase(Locale.ROOT) + "\"}", count));
         appendLine(text, "client_ends_put_off_total", clientEndsPutOff);
         appendLine(text, "client_bytes_behind_end_total", bytesBehindEnd);
+        appendLine(text, "client_commands_behind_broken_value_total", commandsBehindBrokenValue);
         appendLine(text, "client_end_poll_age_max_ms", Math.round(maxPollAgeAtEndMs));
         localFailures.forEach((call, count) ->
             appendLine(text, "local_failures_total{call=\"" + call + "\"}", count));
--- a/src/main/java/willowyoke/net/ServerPool.java
+++ b/src/main/java/willowyoke/net/ServerPool.java
@@ -650,8 +650,8 @@
         @Override public void valueChunk(BulkStringRedisContent chunk) {
             if (current == null) {
                 ReferenceCountUtil.release(chunk); // the client has gone, and this connection is closing
-            } else if (!node.longValueChunk(current, chunk)) {
-                throw new CodecException("long value with requests behind it");
+            } else {
+                node.longValueChunk(current, chunk);
             }
         }
 
--- a/src/test/java/willowyoke/net/EdgeNodeTest.java
+++ b/src/test/java/willowyoke/net/EdgeNodeTest.java
@@ -1120,6 +1120,107 @@
         expectEvent("started 2 0");
     }
 
+    /** Has a request open with a command behind it, and returns the length of a long value for it. */
+    private Peer.Connection requestWithCommandBehind(int timeoutMs) throws Exception {
+        Peer.Connection client = client();
+        sendCall(client, "01", "read", timeoutMs);
+        sendCall(client, "02", "refuse", LONG_TIMEOUT_MS);
+        expectArrival(1, "read");
+        serverConnection.readMessage();
+        expectArrival(2, "refuse");
+        return client;
+    }
+
+    /** A value over 1 MiB with a command behind it was cut off, and its request run again in vain. */
+    @Test void valueTooLongToHoldIsPassedOnWithCommandBehindIt() throws Exception {
+        start();
+        Peer.Connection client = requestWithCommandBehind(20_000);
+        int length = 3 << 20;
+        int begun = length / 2;
+        serverConnection.write("*3\r\n$" + length + "\r\n" + "a".repeat(begun));
+        assertEquals("$" + length, client.readLine());
+        assertEquals("a".repeat(begun), client.readBytes(begun));
+        serverConnection.write("b".repeat(length - begun) + "\r\n$-1\r\n$-1\r\n");
+        assertEquals("b".repeat(length - begun) + "\r\n", client.readBytes(length - begun + 2));
+        assertEquals(List.of("-BUSY 1500"), client.readMessage());
+    }
+
+    /** A value that its server writes slowly was held back, and cut off at its time, for a command behind it. */
+    @Test void slowLongValueIsPassedOnWithCommandBehindIt() throws Exception {
+        start();
+        Peer.Connection client = requestWithCommandBehind(500);
+        serverConnection.write("*3\r\n$100000\r\n" + "a".repeat(70_000));
+        assertEquals("$100000", client.readLine()); // the rest comes behind the time of the request
+        assertEquals("a".repeat(70_000), client.readBytes(70_000));
+        serverConnection.write("b".repeat(30_000) + "\r\n$-1\r\n$-1\r\n");
+        assertEquals("b".repeat(30_000) + "\r\n", client.readBytes(30_002));
+        assertEquals(List.of("-BUSY 1500"), client.readMessage());
+    }
+
+    /** A long value whose turn comes behind its time was cut off while it waited. */
+    @Test void longValueIsNotCutOffWhileItWaitsForItsTurn() throws Exception {
+        start();
+        Peer.Connection client = client();
+        sendCall(client, "01", "read", 20_000);
+        expectArrival(1, "read");
+        serverConnection.readMessage();
+        sendCall(client, "02", "read", 300);
+        expectArrival(2, "read");
+        Peer.Connection second = flagServer.accept();
+        second.readMessage();
+        second.write("*3\r\n$100000\r\n" + "a".repeat(70_000));
+        expectEvent("started 2 0");
+        second.write("b".repeat(30_000) + "\r\n$-1\r\n$-1\r\n");
+        expectEvent("ended 2 0 OK true");
+        serverConnection.writeValue("one");
+        assertEquals(List.of("one"), client.readMessage());
+        assertEquals(List.of("a".repeat(70_000) + "b".repeat(30_000)), client.readMessage());
+    }
+
+    /** A value that breaks while it waits for its turn costs the requests before it nothing. */
+    @Test void longValueThatBreaksBeforeItsTurnFailsAlone() throws Exception {
+        start();
+        Peer.Connection client = client();
+        sendCall(client, "01", "read", 20_000);
+        expectArrival(1, "read");
+        serverConnection.readMessage();
+        sendCall(client, "02", "read", 300);
+        expectArrival(2, "read");
+        Peer.Connection second = flagServer.accept();
+        second.readMessage();
+        second.write("*3\r\n$100000\r\n" + "a".repeat(70_000));
+        expectEvent("started 2 0");
+        second.close();
+        expectEvent("ended 2 0 RESET true");
+        sendCall(client, "03", "refuse", LONG_TIMEOUT_MS);
+        expectArrival(3, "refuse");
+        serverConnection.writeValue("one");
+        assertEquals(List.of("one"), client.readMessage());
+        assertEquals(List.of("-ERR failed"), client.readMessage());
+        assertEquals(List.of("-BUSY 1500"), client.readMessage());
+    }
+
+    /** The requests behind a value that breaks when the client has a part of it are ended with it. */
+    @Test void longValueThatBreaksEndsRequestsBehindIt() throws Exception {
+        start();
+        Peer.Connection client = client();
+        sendCall(client, "01", "read", 400);
+        sendCall(client, "02", "read", 20_000);
+        expectArrival(1, "read");
+        serverConnection.readMessage();
+        expectArrival(2, "read");
+        flagServer.accept().readMessage();
+        serverConnection.write("*3\r\n$100000\r\n" + "a".repeat(70_000));
+        expectEvent("started 1 0");
+        assertEquals("$100000", client.readLine());
+        serverConnection.close();
+        expectEvent("cancelled 2");
+        expectEvent("ended 1 0 RESET true");
+        client.readBytes(70_000);
+        assertTrue(client.reachesEnd());
+        assertTrue(controlCommand("INFO\n").contains("node_client_commands_behind_broken_value_total 1"));
+    }
+
     /** A close tells the client that the value is truncated, and the server that its client has gone. */
     @Test void truncatedLargeValueClosesConnections() throws Exception {
         start();
