Keep the counter's connections of a test open until its end

closesSilentCounterConnectionOnceLaterCallsAreAnswered failed once, with a TIMEOUT in place of the awaited RESET. Nothing referred to the test's own end of the silent connection once its thread had read two calls, so the garbage collector closed the socket, and the next calls went to a new connection.

--- a/src/test/java/willowyoke/net/EdgeNodeTest.java
+++ b/src/test/java/willowyoke/net/EdgeNodeTest.java
@@ -627,6 +627,7 @@
         start();
         for (int i = 0; i < 4; i++) {
             Peer.Connection connection = counter.accept();
+            resources.add(connection); // a socket that nothing refers to is closed by the collector
             Thread reading = new Thread(() -> {
                 try {
                     List<String> words = connection.readMessage();
