Refuse commands that stop half way when no connection can be accepted any more

When the node is full, commands of which nothing has come for 100 ms are refused and their connections ended, or else those that have been incomplete for 250 ms; the socket is read first, and a connection with an open request is never chosen.

--- a/src/main/java/willowyoke/net/ClientConnection.java
+++ b/src/main/java/willowyoke/net/ClientConnection.java
@@ -38,6 +38,12 @@
     private static final int MAX_DIRECT_READS = 16;
     /** A connection that has been silent for this long since its accept may make room for others. */
     static final double SILENT_BEFORE_CLOSE_MS = 100;
+    /** A command of which nothing more has come for this long is refused where others need the room. */
+    private static final double STALLED_BEFORE_REFUSAL_MS = 100;
+    /** So is a command of which something still comes, when it has been incomplete for this long. */
+    private static final double INCOMPLETE_BEFORE_REFUSAL_MS = 250;
+    /** How long a client may still send after it was refused to make room for others. */
+    private static final double MAKE_ROOM_LINGER_MS = 20;
     /** A connection on which nothing has come is ended after this; the protocol demands it within 3 s. */
     static final double SILENCE_TIMEOUT_MS = 2300;
 
@@ -51,6 +57,8 @@
     private final ClientOutput output;
     private final ArrayDeque<AnswerSlot> slots = new ArrayDeque<>();
     private final double acceptedAtMs;
+    /** When something was last read, or the accept. */
+    private double lastReadAtMs;
     private int commandCount;
     /** How long what is read may have waited, from the accept queue on. */
     private final BacklogAge unreadAge;
@@ -83,6 +91,7 @@
         frameTracker = RespCodec.addTo(channel.pipeline(), MAX_COMMAND_PARTS, memory.partialCommand());
         channel.pipeline().addLast(this);
         acceptedAtMs = node.nowMs();
+        lastReadAtMs = acceptedAtMs;
         incompleteCommandTimer =
             new IncompleteCommandTimer(node, acceptedAtMs, this::incompleteCommandOverdue);
         unreadAge = new BacklogAge(node);
@@ -183,6 +192,7 @@
     }
 
     @Override public void channelReadComplete(ChannelHandlerContext ctx) {
+        lastReadAtMs = node.nowMs();
         noteUnreadTime();
         watchIncompleteCommand();
         endSoon();
@@ -425,6 +435,30 @@
         return !closed && !outputEnded && (endReason != null || listener.isEnding() && commandCount > 0);
     }
 
+    /** Whether it holds nothing but a command that has made no progress for a while. */
+    boolean isStalled() {
+        return holdsOnlyIncompleteCommand() && node.nowMs() - lastReadAtMs >= STALLED_BEFORE_REFUSAL_MS;
+    }
+
+    /** Whether it holds nothing but a command that has been incomplete for a while. */
+    boolean isSlow() {
+        return holdsOnlyIncompleteCommand()
+            && incompleteCommandTimer.incompleteMs() >= INCOMPLETE_BEFORE_REFUSAL_MS;
+    }
+
+    private boolean holdsOnlyIncompleteCommand() {
+        return slots.isEmpty() && endReason == null && !closed && channel.config().isAutoRead()
+            && owesIncompleteCommand();
+    }
+
+    /** Refuses a command that has been read in part, unless more of it has come, and ends the connection. */
+    void refuseIncompleteCommand() {
+        if (DirectSocket.read(channel) == DirectSocket.Input.NONE && holdsOnlyIncompleteCommand()) {
+            giveUpInput(EndReason.MAKE_ROOM, BUSY_ANSWER);
+            endSoon();
+        }
+    }
+
     private boolean owesIncompleteCommand() {
         return !inputDiscarded && frameTracker.hasUnfinishedInput();
     }
@@ -505,8 +539,15 @@
         if (output.lastWriteAtMs() == Double.NEGATIVE_INFINITY && endReason == EndReason.MAKE_ROOM) {
             channel.close(); // it has carried nothing
         } else {
-            node.schedule(clientMayBeReading() ? EdgeNode.STALL_TIMEOUT_MS : LINGER_MS, channel::close);
+            node.schedule(lingerMs(), channel::close);
+        }
+    }
+
+    private double lingerMs() {
+        if (clientMayBeReading()) {
+            return EdgeNode.STALL_TIMEOUT_MS;
         }
+        return inputDiscarded && endReason == EndReason.MAKE_ROOM ? MAKE_ROOM_LINGER_MS : LINGER_MS;
     }
 
     /** Checks, by what has gone over the wire, that each command has its answer. */
--- a/src/main/java/willowyoke/net/ClientListener.java
+++ b/src/main/java/willowyoke/net/ClientListener.java
@@ -13,7 +13,9 @@
 import java.io.IOException;
 import java.net.SocketAddress;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Set;
+import java.util.function.Predicate;
 import willowyoke.MemoryPolicy;
 import willowyoke.net.ClientConnection.EndReason;
 
@@ -86,8 +88,9 @@
 
     /**
      * Ends a connection when there are too many: the oldest on which nothing has come, or else the one that
-     * has been idle for longest, which gets the time to read its last answer. When there is none, no
-     * connection is accepted until one closes, or has been silent for long enough.
+     * has been idle for longest, which gets the time to read its last answer. When no more can be accepted,
+     * commands that have stopped half way are refused, or else those that are slow. When there is none of
+     * all these, no connection is accepted until one closes, or has been silent for long enough.
      */
     void makeRoom() {
         if (connections.size() > maxConnections) {
@@ -95,6 +98,9 @@
         }
         boolean full = connections.size() >= maxIncludingClosing(maxConnections);
         acceptControl.setFull(full);
+        if (full && !refuseIncomplete(ClientConnection::isStalled)) {
+            refuseIncomplete(ClientConnection::isSlow);
+        }
         if (full && !roomCheckScheduled) {
             roomCheckScheduled = true;
             node.schedule(ClientConnection.SILENT_BEFORE_CLOSE_MS, () -> {
@@ -104,6 +110,13 @@
         }
     }
 
+    /** Refuses the commands of such connections, which are incomplete; false where there are none. */
+    private boolean refuseIncomplete(Predicate<ClientConnection> which) {
+        List<ClientConnection> chosen = connections.stream().filter(which).toList();
+        chosen.forEach(ClientConnection::refuseIncompleteCommand);
+        return !chosen.isEmpty();
+    }
+
     private void endLeastUsed() {
         ClientConnection leastUsed = null;
         for (ClientConnection connection : connections) {
--- a/src/main/java/willowyoke/net/IncompleteCommandTimer.java
+++ b/src/main/java/willowyoke/net/IncompleteCommandTimer.java
@@ -34,6 +34,11 @@
         schedule();
     }
 
+    /** How long the command has been incomplete; 0 where none is. */
+    double incompleteMs() {
+        return sinceMs == 0 ? 0 : node.nowMs() - sinceMs;
+    }
+
     /** Gives the command its whole time again. */
     void restart() {
         sinceMs = node.nowMs();
--- a/src/test/java/willowyoke/net/EdgeNodeTest.java
+++ b/src/test/java/willowyoke/net/EdgeNodeTest.java
@@ -21,11 +21,15 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import willowyoke.Gateway;
 
 /** Tests the edge node between peers on loopback sockets, with a scripted decision module. */
@@ -975,6 +979,49 @@
         assertTrue(tookMs < timeoutMs + 500, "answered after " + tookMs + " ms");
     }
 
+    /** Peers that stopped half way in a command, or sent it slowly, kept all others from being accepted. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void crowdInsideCommandsHoldsUpNoRequest(boolean trickling) throws Exception {
+        maxSockets = 40;
+        start();
+        String command = "*4\r\n$8\r\nCALL.GET\r\n$16\r\n" + CUSTOMER + "\r\n$60000\r\n0";
+        List<Peer.Connection> crowd = new ArrayList<>();
+        for (int i = 0; i < 100; i++) { // half of the descriptors are for clients
+            crowd.add(client());
+            crowd.get(i).write(command);
+        }
+        AtomicBoolean ended = new AtomicBoolean();
+        Thread trickle = new Thread(() -> trickle(crowd, ended));
+        if (trickling) {
+            trickle.start();
+        }
+        Peer.Connection client = client();
+        int timeoutMs = 3000;
+        long sentNanos = System.nanoTime();
+        sendCall(client, "01", "refuse", timeoutMs);
+        assertEquals(List.of("-BUSY 1500"), client.readMessage());
+        long tookMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentNanos);
+        ended.set(true);
+        trickle.join();
+        assertTrue(tookMs < timeoutMs + 500, "answered after " + tookMs + " ms");
+        assertEquals("-BUSY", crowd.get(0).readLine());
+    }
+
+    /** Writes a byte on each connection in turn, as long as they are open. */
+    private static void trickle(List<Peer.Connection> crowd, AtomicBoolean ended) {
+        while (!ended.get()) {
+            for (Peer.Connection peer : crowd) {
+                try {
+                    peer.write("0");
+                } catch (IOException closed) {
+                    continue;
+                }
+            }
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(200));
+        }
+    }
+
     /** Where all other connections are busy, a new one is not closed before its first request is read. */
     @Test void newConnectionIsNotClosedUnread() throws Exception {
         maxSockets = 40;
