Keep a slow call to discovery open while newer ones are made

A call without an answer after 3 s stays open for 30 s, with a newer one beside it; the first that is answered is the only one from then on.

--- a/src/main/java/willowyoke/net/DiscoveryClient.java
+++ b/src/main/java/willowyoke/net/DiscoveryClient.java
@@ -47,6 +47,8 @@
      * connect that fails together take less.
      */
     private static final double WATCH_SILENCE_TIMEOUT_MS = 3000;
+    /** So long a call without an answer is kept open beside the newer ones that are made meanwhile. */
+    private static final double MAX_ANSWER_WAIT_MS = 30_000;
     private static final double CHECK_INTERVAL_MS = 250;
     private static final int CONNECT_TIMEOUT_MS = 1000;
     /** How long after a connect that failed on this machine the next one is made. */
@@ -71,10 +73,10 @@
     private int addressIndex;
     /** How many replicas in a row have said that their list is stale. */
     private int staleReplicasInRow;
-    /** The only connect, or the connection that it has led to; null while the next one is awaited. */
-    private Connector.Connect connect;
-    /** The connection, or null while there is none. */
-    private Channel channel;
+    /** The newest call; null while the next one is awaited. */
+    private Call current;
+    /** An older call that has no answer yet but may still get one, or null. */
+    private Call slow;
     private Future<?> scheduledConnect;
     private long version = -1;
     private long epoch; // 0: the list has no epoch
@@ -82,7 +84,6 @@
     private boolean needsCompleteList;
     /** The starts of the listed servers, by their ids. */
     private final Map<String, Start> serverStarts = new HashMap<>();
-    private double lastHeardAtMs;
     private double backoffMs = MIN_BACKOFF_MS;
 
     /** Starts at a random address, so that the edge nodes don't all connect to the first replica. */
@@ -105,7 +106,7 @@
      */
     void start(JsonNode initialMembers) {
         if (initialMembers != null) {
-            applyList(initialMembers);
+            applyList(addresses.get(addressIndex), initialMembers);
         }
         connect();
         checkWatch();
@@ -125,18 +126,28 @@
         if (scheduledConnect != null) {
             scheduledConnect.cancel(false);
         }
-        Connector.Connect previous = connect;
-        connect = null;
-        channel = null;
-        if (previous != null) {
-            previous.cancel();
-        }
+        Call previous = current;
+        current = null;
+        cancel(previous);
+        dropSlowCall();
         connect();
     }
 
+    private static void cancel(Call call) {
+        if (call != null) {
+            call.connect.cancel();
+        }
+    }
+
+    private void dropSlowCall() {
+        Call dropped = slow;
+        slow = null;
+        cancel(dropped);
+    }
+
     /** Connects, unless there is a connection or one is already scheduled. */
     void ensureWatching() {
-        if (connect == null && scheduledConnect == null) {
+        if (current == null && scheduledConnect == null) {
             connect();
         }
     }
@@ -144,42 +155,94 @@
     private void checkWatch() {
         node.schedule(CHECK_INTERVAL_MS, this::checkWatch);
         node.wallClock().sample();
-        if (channel != null && node.nowMs() - lastHeardAtMs > WATCH_SILENCE_TIMEOUT_MS) {
-            channel.close();
+        if (current != null && current.silentMs() > WATCH_SILENCE_TIMEOUT_MS) {
+            if (current.answered || slow != null) {
+                current.channel.close();
+            } else {
+                callAgain();
+            }
+        }
+        if (slow != null && slow.silentMs() > MAX_ANSWER_WAIT_MS) {
+            dropSlowCall();
+        }
+    }
+
+    /**
+     * Makes a new call beside one that has no answer yet: discovery may be slow, so that giving up each call
+     * would never lead to an answer, or it may have lost this one.
+     */
+    private void callAgain() {
+        slow = current;
+        current = null;
+        addressIndex = (addressIndex + 1) % addresses.size();
+        connect();
+    }
+
+    /** Notes that something has come on a call, which is the only one from then on. */
+    private void answered(Call call) {
+        call.answered = true;
+        call.lastHeardAtMs = node.nowMs();
+        if (call == slow) {
+            Call newer = current;
+            slow = null;
+            current = call;
+            if (scheduledConnect != null) {
+                scheduledConnect.cancel(false);
+                scheduledConnect = null;
+            }
+            cancel(newer);
+        } else {
+            dropSlowCall();
         }
     }
 
     private void connect() {
         scheduledConnect = null;
-        if (connect != null) {
+        if (current != null) {
             return;
         }
-        ConnectionOwner owner = new ConnectionOwner();
-        owner.connect = connector.connect(addresses.get(addressIndex),
+        Call call = new Call(addresses.get(addressIndex));
+        call.connect = connector.connect(call.address,
             newChannel -> newChannel.pipeline()
-                .addLast(node.workHandler(), new HttpClientCodec(), new ResponseHandler(owner)),
-            newChannel -> { }, cause -> connectFailed(owner, cause));
-        connect = owner.connect;
+                .addLast(node.workHandler(), new HttpClientCodec(), new ResponseHandler(call)),
+            newChannel -> { }, cause -> connectFailed(call, cause));
+        current = call;
     }
 
     /** A failure of this machine tells nothing of the replica, so the same one is tried again soon. */
-    private void connectFailed(ConnectionOwner owner, Throwable cause) {
-        if (owner.isCurrent() && Connector.isLocalFailure(cause)) {
+    private void connectFailed(Call call, Throwable cause) {
+        if (call == current && Connector.isLocalFailure(cause)) {
             node.countLocalFailure("connect");
-            connect = null;
+            current = null;
             scheduledConnect = node.schedule(LOCAL_RETRY_DELAY_MS, this::connect);
         } else {
-            connectionEnded(owner);
+            callEnded(call);
         }
     }
 
-    /** Links a connection to the connect that it came from, which tells whether it is still in use. */
-    private final class ConnectionOwner {
+    /** A call to discovery: a connect, then its connection, with a request and its answer. */
+    private final class Call {
+        private final InetSocketAddress address;
         private Connector.Connect connect;
+        /** Null until the connection is open. */
+        private Channel channel;
+        /** When something last came, or the request was sent. */
+        private double lastHeardAtMs;
+        /** Whether something has come since the request. */
+        private boolean answered;
 
-        /** False once the addresses have changed: what still comes is ignored. */
-        private boolean isCurrent() {
-            return connect == DiscoveryClient.this.connect;
+        Call(InetSocketAddress address) {
+            this.address = address;
+        }
+
+        /** False once the addresses have changed, or another call has the answer: what comes is ignored. */
+        private boolean isLive() {
+            return this == current || this == slow;
+        }
+
+        /** For how long nothing has come; 0 before the request. */
+        private double silentMs() {
+            return channel == null ? 0 : node.nowMs() - lastHeardAtMs;
         }
     }
 
@@ -187,13 +250,16 @@
      * Schedules a connect to the next address. The delay is random, or all edge nodes would reconnect at the
      * same moment.
      */
-    private void connectionEnded(ConnectionOwner owner) {
+    private void callEnded(Call call) {
         node.invariants().checkEventLoop("the end of a connection to discovery");
-        if (!owner.isCurrent()) {
-            return; // it was closed by a change of the addresses
+        if (call == slow) {
+            slow = null; // the newer call goes on
+            return;
+        }
+        if (call != current) {
+            return; // it was closed by a change of the addresses, or for another call
         }
-        connect = null;
-        channel = null;
+        current = null;
         addressIndex = (addressIndex + 1) % addresses.size();
         scheduledConnect = node.schedule(backoffMs * (0.5 + random.nextDouble()), this::connect);
         backoffMs = Math.min(2 * backoffMs, MAX_BACKOFF_MS);
@@ -205,14 +271,14 @@
      * Applies a complete list or a change of the list. False where it is malformed, of an older epoch or
      * version than the known one, or refused by the module.
      */
-    private boolean applyList(JsonNode update) {
+    private boolean applyList(InetSocketAddress replica, JsonNode update) {
         if (!update.path("hosts").isArray()) {
             return false;
         }
         long updateEpoch = update.path("epoch").asLong();
         if (updateEpoch > 0 && (updateEpoch < epoch
             || updateEpoch == epoch && update.path("seq").asLong() < version)) {
-            node.logError("discovery", new IllegalStateException(addresses.get(addressIndex)
+            node.logError("discovery", new IllegalStateException(replica
                 + " is behind: epoch " + updateEpoch + ", version " + update.path("seq").asLong()
                 + ", where " + epoch + ", " + version + " is known"));
             return false;
@@ -226,7 +292,7 @@
             }
         }
         if (!node.applyServerList(members, update.path("whole").asBoolean(), updateEpoch == 0 ? null
-            : new Gateway.ListSource(addresses.get(addressIndex).toString(), updateEpoch,
+            : new Gateway.ListSource(replica.toString(), updateEpoch,
                 update.path("seq").asLong()))) {
             needsCompleteList = true;
             return false;
@@ -282,18 +348,18 @@
         private final NonBlockingJsonParser parser = newParser();
         private TokenBuffer value = new TokenBuffer(Config.JSON, false);
         private int valueBytes;
-        private final ConnectionOwner owner;
+        private final Call call;
         /** Whether the request was for a watch, rather than for the complete list. */
         private boolean watching;
         private boolean statusOk;
 
-        ResponseHandler(ConnectionOwner owner) {
-            this.owner = owner;
+        ResponseHandler(Call call) {
+            this.call = call;
         }
 
         @Override public void channelActive(ChannelHandlerContext ctx) {
-            if (owner.isCurrent()) {
-                channel = ctx.channel();
+            if (call.isLive()) {
+                call.channel = ctx.channel();
                 sendRequest(ctx);
             } else {
                 ctx.close();
@@ -301,20 +367,21 @@
         }
 
         private void sendRequest(ChannelHandlerContext ctx) {
-            lastHeardAtMs = node.nowMs();
+            call.lastHeardAtMs = node.nowMs();
+            call.answered = false;
             watching = version >= 0 && !needsCompleteList;
             DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
                 watching ? PATH + "?follow=1&since=" + version + (epoch > 0 ? "&epoch=" + epoch : "") : PATH);
-            InetSocketAddress address = addresses.get(addressIndex);
-            request.headers().set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort());
+            request.headers()
+                .set(HttpHeaderNames.HOST, call.address.getHostString() + ":" + call.address.getPort());
             ctx.writeAndFlush(request);
         }
 
         @Override protected void channelRead0(ChannelHandlerContext ctx, HttpObject msg) throws IOException {
-            if (!owner.isCurrent()) {
-                return; // from an address that is no longer used
+            if (!call.isLive()) {
+                return; // from an address that is no longer used, or too late
             }
-            lastHeardAtMs = node.nowMs();
+            answered(call);
             if (msg instanceof HttpResponse response) {
                 statusOk = response.status().code() == 200;
             }
@@ -355,7 +422,7 @@
         }
 
         private void handleUpdate(ChannelHandlerContext ctx, JsonNode update) {
-            if (applyList(update)) {
+            if (applyList(call.address, update)) {
                 needsCompleteList = false;
                 backoffMs = MIN_BACKOFF_MS;
                 ready.complete(null);
@@ -373,7 +440,7 @@
         }
 
         @Override public void channelInactive(ChannelHandlerContext ctx) {
-            connectionEnded(owner);
+            callEnded(call);
         }
 
         @Override public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
--- a/src/test/java/willowyoke/net/DiscoveryClientTest.java
+++ b/src/test/java/willowyoke/net/DiscoveryClientTest.java
@@ -21,6 +21,9 @@
  */
 @Timeout(30)
 class DiscoveryClientTest {
+    private static final String WATCH_QUERY = "?follow=1&since=40&epoch=7";
+    private static final String WATCH_HEAD = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+
     private final BlockingQueue<String> events = new LinkedBlockingQueue<>();
     private Peer first;
     private Peer second;
@@ -29,6 +32,8 @@
     /** The replica that got the last request, and the connection of that request. */
     private Peer askedReplica;
     private Peer.Connection connection;
+    /** Whether a watch gets the head of its answer as soon as its request has come. */
+    private boolean answersAtOnce = true;
 
     @BeforeEach void start() throws Exception {
         first = new Peer();
@@ -123,8 +128,8 @@
         while (!connection.readLine().isEmpty()) {
             assertTrue(connection.socket.isConnected());
         }
-        if (!query.isEmpty()) {
-            connection.write("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n");
+        if (!query.isEmpty() && answersAtOnce) {
+            connection.write(WATCH_HEAD);
         }
     }
 
@@ -207,4 +212,46 @@
         expectEvent("whole s0 s1 s2");
         expectRequest("?follow=1&since=50&epoch=7");
     }
+
+    /** Ends the watch; the node makes a call that is not answered, and then a newer one beside it. */
+    private List<Peer.Connection> callTwice() throws Exception {
+        answersAtOnce = false;
+        connection.close();
+        connection = null;
+        expectRequest(WATCH_QUERY);
+        Peer.Connection slow = connection;
+        expectRequest(WATCH_QUERY);
+        return List.of(slow, connection);
+    }
+
+    private void answerWatch(Peer.Connection call) throws Exception {
+        call.write(WATCH_HEAD);
+        connection = call;
+        push(list(7, 41, true, "s0", "s1"));
+        expectEvent("whole s0 s1");
+    }
+
+    /** Calls that take longer than a watch may be silent were all given up, so no list ever came. */
+    @Test void slowAnswerIsTakenWhileNewerCallsAreMade() throws Exception {
+        List<Peer.Connection> calls = callTwice();
+        answerWatch(calls.get(0));
+        assertTrue(calls.get(1).reachesEnd());
+    }
+
+    /** A call that discovery has lost is not waited for: the newer one has the answer. */
+    @Test void newerCallIsTakenWhereTheSlowOneIsLost() throws Exception {
+        List<Peer.Connection> calls = callTwice();
+        answerWatch(calls.get(1));
+        assertTrue(calls.get(0).reachesEnd());
+    }
+
+    /** The end of a newer call leaves the slow one open, which may still be answered. */
+    @Test void endOfNewerCallLeavesTheSlowOneOpen() throws Exception {
+        List<Peer.Connection> calls = callTwice();
+        calls.get(1).close();
+        connection = null;
+        expectRequest(WATCH_QUERY);
+        answerWatch(calls.get(0));
+        assertTrue(connection == calls.get(0));
+    }
 }
