Let a new leader's let-go end only leases that have run out

Such a member is now gone when the lease that the new leader gave it runs out, without being held, unless it renews before.

--- a/fleet/catalog/src/main/java/barleyfall/catalog/replica/Leases.java
+++ b/fleet/catalog/src/main/java/barleyfall/catalog/replica/Leases.java
@@ -24,6 +24,8 @@
         boolean renewed;
         /** Whether an operator has said that the member is gone. */
         boolean declaredGone;
+        /** Whether an operator has said so before this leader could know whether the member is missing. */
+        boolean goneUnlessRenewed;
         /** When the expiry was last proposed, or {@code Long.MIN_VALUE}. */
         long proposedAtMs = Long.MIN_VALUE;
 
@@ -97,6 +99,8 @@
             || !known.member.spec().equals(member.spec()) ? nowMs + member.spec().leaseMs()
             : known.expiresAtMs);
         lease.renewed = known == null || known.renewed;
+        lease.goneUnlessRenewed =
+            known != null && known.member.token() == member.token() && known.goneUnlessRenewed;
         leases.put(member.host(), lease);
     }
 
@@ -109,24 +113,26 @@
         lease.expiresAtMs = nowMs + lease.member.spec().leaseMs();
         lease.renewed = true;
         lease.declaredGone = false;
+        lease.goneUnlessRenewed = false;
         lease.proposedAtMs = Long.MIN_VALUE;
         return true;
     }
 
     /**
      * An operator says that the members which are missing now are gone. That holds for each of them until it
-     * renews its lease.
+     * renews its lease. Of a member that has not renewed with this leader yet, only the end of its lease
+     * tells whether it is missing: then it is gone without being held.
      */
     synchronized void declareMissingGone(long nowMs) {
         for (Lease lease : leases.values()) {
             lease.declaredGone |= isMissing(lease, nowMs);
+            lease.goneUnlessRenewed = inheritedHold && !lease.renewed;
         }
         inheritedHold = false;
     }
 
-    private boolean isMissing(Lease lease, long nowMs) {
-        return !lease.declaredGone && lease.proposedAtMs == Long.MIN_VALUE
-            && (nowMs >= lease.expiresAtMs || inheritedHold && !lease.renewed);
+    private static boolean isMissing(Lease lease, long nowMs) {
+        return !lease.declaredGone && lease.proposedAtMs == Long.MIN_VALUE && nowMs >= lease.expiresAtMs;
     }
 
     /** Whether this replica leads and none of these leases is known to last. */
@@ -152,7 +158,8 @@
                 continue;
             }
             memberCount++;
-            missing += isMissing(lease, nowMs) ? 1 : 0;
+            lease.declaredGone |= lease.goneUnlessRenewed && isMissing(lease, nowMs);
+            missing += isMissing(lease, nowMs) || inheritedHold && !lease.renewed ? 1 : 0;
         }
         inheritedHold &= nowMs < inheritedHoldEndsAtMs;
         boolean hold = guard.shouldHold(nowMs, missing, memberCount) || inheritedHold;
