Count overdue members when the guard decides whether leases may expire

Once a lease has run out, members of which nothing has come for two thirds of their lease count as lost too: those that renew at a third never are, and all that stopped together are by then. let-go ends their leases when they run out.

--- a/fleet/catalog/src/main/java/barleyfall/catalog/replica/Leases.java
+++ b/fleet/catalog/src/main/java/barleyfall/catalog/replica/Leases.java
@@ -40,11 +40,17 @@
      *
      * @param expired the leases whose expiry is to be proposed now
      * @param hold whether the guard against mass loss holds leases
-     * @param missing how many members' leases have run out but have not expired
+     * @param missing how many members' leases have run out but have not expired; where there are any, with
+     *     those that are overdue
      * @param memberCount how many members have a lease that can expire
      */
     record CheckResult(List<Command.ExpiredLease> expired, boolean hold, int missing, int memberCount) { }
 
+    /**
+     * The part of a lease after which a member is overdue: members renew at a third of it, so one that goes on
+     * is never that late. When the first of many members that stop together has lost its lease, all are.
+     */
+    private static final double OVERDUE_FRACTION = 2.0 / 3;
     /** After this time an expiry that has not been committed is proposed again. */
     private static final long PROPOSE_AGAIN_AFTER_MS = 1000;
 
@@ -120,13 +126,13 @@
 
     /**
      * An operator says that the members which are missing now are gone. That holds for each of them until it
-     * renews its lease. Of a member that has not renewed with this leader yet, only the end of its lease
-     * tells whether it is missing: then it is gone without being held.
+     * renews its lease. Of a member that is overdue, or that has not renewed with this leader yet, only the
+     * end of its lease tells whether it is missing: then it is gone without being held.
      */
     synchronized void declareMissingGone(long nowMs) {
         for (Lease lease : leases.values()) {
+            lease.goneUnlessRenewed = inheritedHold && !lease.renewed || isOverdue(lease, nowMs);
             lease.declaredGone |= isMissing(lease, nowMs);
-            lease.goneUnlessRenewed = inheritedHold && !lease.renewed;
         }
         inheritedHold = false;
     }
@@ -135,6 +141,12 @@
         return !lease.declaredGone && lease.proposedAtMs == Long.MIN_VALUE && nowMs >= lease.expiresAtMs;
     }
 
+    private static boolean isOverdue(Lease lease, long nowMs) {
+        double leftMs = (1 - OVERDUE_FRACTION) * lease.member.spec().leaseMs();
+        return !lease.declaredGone && lease.proposedAtMs == Long.MIN_VALUE
+            && nowMs >= lease.expiresAtMs - leftMs;
+    }
+
     /** Whether this replica leads and none of these leases is known to last. */
     synchronized boolean areOver(List<Command.ExpiredLease> ended, long nowMs) {
         return leading && ended.stream().noneMatch(end -> lasts(leases.get(end.host()), end.token(), nowMs));
@@ -152,6 +164,7 @@
     synchronized CheckResult check(long nowMs) {
         List<Command.ExpiredLease> expired = new ArrayList<>();
         int missing = 0;
+        int overdue = 0;
         int memberCount = 0;
         for (Lease lease : leases.values()) {
             if (lease.member.pinned()) {
@@ -159,10 +172,14 @@
             }
             memberCount++;
             lease.declaredGone |= lease.goneUnlessRenewed && isMissing(lease, nowMs);
-            missing += isMissing(lease, nowMs) || inheritedHold && !lease.renewed ? 1 : 0;
+            if (isMissing(lease, nowMs) || inheritedHold && !lease.renewed) {
+                missing++;
+            } else if (isOverdue(lease, nowMs)) {
+                overdue++;
+            }
         }
         inheritedHold &= nowMs < inheritedHoldEndsAtMs;
-        boolean hold = guard.shouldHold(nowMs, missing, memberCount) || inheritedHold;
+        boolean hold = guard.shouldHold(nowMs, missing, overdue, memberCount) || inheritedHold;
         for (Lease lease : leases.values()) {
             boolean over = !lease.member.pinned() && isOver(lease, nowMs);
             boolean first = lease.proposedAtMs == Long.MIN_VALUE;
@@ -175,6 +192,6 @@
                 expired.add(new Command.ExpiredLease(lease.member.host(), lease.member.token()));
             }
         }
-        return new CheckResult(expired, hold, missing, memberCount);
+        return new CheckResult(expired, hold, missing + (missing > 0 ? overdue : 0), memberCount);
     }
 }
--- a/fleet/catalog/src/main/java/barleyfall/catalog/replica/MassLossGuard.java
+++ b/fleet/catalog/src/main/java/barleyfall/catalog/replica/MassLossGuard.java
@@ -23,23 +23,25 @@
         expiredAtMs.add(nowMs);
     }
 
-    /** How many members are missing or have expired within the window. */
-    private int lostWithinWindow(long nowMs, int missing) {
+    /** How many members have expired within the window. */
+    private int expiredWithinWindow(long nowMs) {
         while (!expiredAtMs.isEmpty() && expiredAtMs.peek() < nowMs - settings.windowMs()) {
             expiredAtMs.poll();
         }
-        return missing + expiredAtMs.size();
+        return expiredAtMs.size();
     }
 
     /**
      * Whether no lease may expire now.
      *
      * @param missing how many members' leases have run out but have not expired
+     * @param overdue how many further members should have renewed their leases by now
      * @param members how many members there are, missing ones included
      */
-    boolean shouldHold(long nowMs, int missing, int members) {
-        int lost = lostWithinWindow(nowMs, missing);
+    boolean shouldHold(long nowMs, int missing, int overdue, int members) {
+        int expired = expiredWithinWindow(nowMs);
+        int lost = missing + overdue + expired;
         return missing > 0 && lost >= settings.minLost()
-            && lost > settings.maxLostFraction() * (members + expiredAtMs.size());
+            && lost > settings.maxLostFraction() * (members + expired);
     }
 }
--- a/fleet/catalog/src/test/java/barleyfall/catalog/replica/LeasesTest.java
+++ b/fleet/catalog/src/test/java/barleyfall/catalog/replica/LeasesTest.java
@@ -109,6 +109,23 @@
         assertEquals(List.of("s0", "s1"), expired.stream().sorted().toList());
     }
 
+    /** The first leases to run out expired alone, before the guard counted enough of those that had stopped. */
+    @Test void membersThatStopTogetherAreAllHeldHoweverTheirRenewalsAreSpread() {
+        Leases shortGrace = new Leases(new Settings.Leasing(100, 60_000, 0),
+            new MassLossGuard(new Settings.Guarding(0.3, 3, 3000)));
+        shortGrace.startLeading(members(), false, 0);
+        int renewalIntervalMs = 333;
+        for (long atMs = 0; atMs < 5000; atMs++) {
+            for (int i = 0; i < MEMBERS; i++) {
+                boolean runs = atMs < 2000 || i >= MEMBERS / 2;
+                if (runs && atMs % renewalIntervalMs == i * renewalIntervalMs / MEMBERS) {
+                    assertTrue(shortGrace.renew("s" + i, i + 1, atMs));
+                }
+            }
+            assertEquals(List.of(), shortGrace.check(atMs).expired(), "after " + atMs + " ms");
+        }
+    }
+
     @Test void anOperatorCanReleaseHeldLeases() {
         leases.startLeading(members(), false, nowMs);
         advance(5000, i -> i >= 8);
