See a client's close by the socket's state where more is unread than is read at once

Attempts were written over 0.1 s after their client had closed, where it had sent over 64 KB before and the event loop was held up: lookForClose reads 16 times, and not at all where reading is off.

Behind that the state of the socket tells now.

--- a/src/main/java/willowyoke/net/ClientConnection.java
+++ b/src/main/java/willowyoke/net/ClientConnection.java
@@ -606,18 +606,21 @@
     }
 
     /**
-     * Reads what the client has sent, up to its close: what waits for an attempt on this connection is then
-     * cancelled. A client of which nothing is read is left to the event loop.
+     * Looks whether the client has closed its connection: what waits for an attempt on it is then cancelled.
+     * Reads what the client has sent, up to a bound; where more may be there, or nothing is read, the state of
+     * the socket tells of a close behind it.
      */
     void lookForClose() {
-        if (closed || outputEnded || !channel.config().isAutoRead()) {
+        if (closed || outputEnded) {
             return;
         }
         DirectSocket.Input input = DirectSocket.Input.READ;
-        for (int i = 0; i < MAX_DIRECT_READS && input == DirectSocket.Input.READ; i++) {
+        for (int i = 0; channel.config().isAutoRead() && i < MAX_DIRECT_READS
+            && input == DirectSocket.Input.READ; i++) {
             input = DirectSocket.read(channel);
         }
-        if (input == DirectSocket.Input.ENDED) {
+        if (input == DirectSocket.Input.ENDED
+            || input == DirectSocket.Input.READ && DirectSocket.isClosedByPeer(channel)) {
             clientGone();
             channel.close();
         }
--- a/src/main/java/willowyoke/net/DirectSocket.java
+++ b/src/main/java/willowyoke/net/DirectSocket.java
@@ -9,6 +9,7 @@
 import io.netty.channel.unix.Socket;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.Set;
 
 /**
  * Calls on a connection's socket, past the event loop. What the loop knows of a socket is as old as its last
@@ -20,6 +21,8 @@
     enum Input { NONE, READ, ENDED }
 
     private static final int READ_BYTES = 4096;
+    /** States of a Linux TCP socket that is closed, or whose peer has sent its last byte. */
+    private static final Set<Integer> STATES_BEHIND_PEERS_CLOSE = Set.of(7, 8, 9);
 
     private DirectSocket() { }
 
@@ -28,6 +31,12 @@
         return read(channel, false);
     }
 
+    /** Whether the peer has closed the connection, also where input that came before is not read yet. */
+    static boolean isClosedByPeer(Channel channel) {
+        return !channel.isActive() || channel instanceof EpollSocketChannel epollChannel
+            && STATES_BEHIND_PEERS_CLOSE.contains(epollChannel.tcpInfo().state());
+    }
+
     /**
      * Shuts down the output if no input is there; nothing lies between the two calls. Input that is there is
      * passed on through the pipeline, and the output stays open.
--- a/src/test/java/willowyoke/net/ConnectionEndTest.java
+++ b/src/test/java/willowyoke/net/ConnectionEndTest.java
@@ -497,6 +497,38 @@
         assertEquals(List.of("two"), client.readMessage());
     }
 
+    /** An attempt was written for a client that had reset its connection behind more input than is read. */
+    @Test void attemptIsNotWrittenForClientThatResetsBehindMuchInput() throws Exception {
+        expectNoAttemptAfterClose(5000, true);
+    }
+
+    /** An attempt was written for a client that had closed behind more input than is read at once. */
+    @Test void attemptIsNotWrittenForClientThatClosesBehindMuchInput() throws Exception {
+        expectNoAttemptAfterClose(5000, false);
+    }
+
+    /** An attempt was written for a client that had closed behind more input than its socket takes. */
+    @Test void attemptIsNotWrittenForClientThatClosesBehindMoreThanItsSocketTakes() throws Exception {
+        expectNoAttemptAfterClose(20_000, false);
+    }
+
+    private void expectNoAttemptAfterClose(int pings, boolean reset) throws Exception {
+        start(flagServer.address());
+        Peer.Connection server = idleConnection(client());
+        Peer.Connection client = client();
+        blockLoopBeforeWrite();
+        client.write(callCommand(2, "send", 20_000));
+        expectEvent("arrived 2");
+        assertTrue(loopBlocked.await(10, TimeUnit.SECONDS));
+        client.write("*1\r\n$4\r\nPING\r\n".repeat(pings));
+        client.socket.setSoLinger(reset, 0);
+        client.close();
+        Thread.sleep(MAX_BEGIN_AFTER_CLOSE_MS); // what the protocol allows
+        releaseLoop.countDown();
+        expectEvent("cancelled 2");
+        assertEquals(0, server.in.available());
+    }
+
     /** An attempt was written long after its client had closed, as the last poll was older than that. */
     @Test void attemptIsNotWrittenForClientThatClosedBehindThePoll() throws Exception {
         start(flagServer.address());
