--- a/fleet/catalog/src/main/java/barleyfall/catalog/replica/Leases.java
+++ b/fleet/catalog/src/main/java/barleyfall/catalog/replica/Leases.java
@@ -47,8 +47,8 @@
     record CheckResult(List<Command.ExpiredLease> expired, boolean hold, int missing, int memberCount) { }
 
     /**
-     * The part of a lease after which a member is overdue: members renew at a third of it, so one that goes on
-     * is never that late. When the first of many members that stop together has lost its lease, all are.
+     * The part of a lease after which a member is overdue: members renew at a third of it, so one that goes
+     * on is never that late. When the first of many members that stop together has lost its lease, all are.
      */
     private static final double OVERDUE_FRACTION = 2.0 / 3;
     /** After this time an expiry that has not been committed is proposed again. */
--- a/fleet/catalog/src/test/java/barleyfall/catalog/replica/LeasesTest.java
+++ b/fleet/catalog/src/test/java/barleyfall/catalog/replica/LeasesTest.java
@@ -109,7 +109,7 @@
         assertEquals(List.of("s0", "s1"), expired.stream().sorted().toList());
     }
 
-    /** The first leases to run out expired alone, before the guard counted enough of those that had stopped. */
+    /** The first leases to run out expired alone, before the guard counted enough of the others. */
     @Test void membersThatStopTogetherAreAllHeldHoweverTheirRenewalsAreSpread() {
         Leases shortGrace = new Leases(new Settings.Leasing(100, 60_000, 0),
             new MassLossGuard(new Settings.Guarding(0.3, 3, 3000)));
@@ -179,7 +179,7 @@
         assertEquals(8, expired.size(), "their leases have run out, and are not held");
     }
 
-    /** Members that had renewed before a change of the leader were gone with those that an operator let go. */
+    /** Members that renewed before a change of the leader were gone with those that an operator let go. */
     @Test void letGoAfterChangeOfLeaderEndsNoLeaseThatIsRenewed() {
         leases.startLeading(members(), true, nowMs);
         advance(100, i -> i >= 14);
@@ -188,7 +188,8 @@
         assertEquals(List.of(), expired);
         advance(10_000, i -> i >= 8);
         assertEquals(8, expired.size(), expired.toString());
-        assertTrue(expired.stream().allMatch(host -> Integer.parseInt(host.substring(1)) < 8), expired.toString());
+        assertTrue(expired.stream().allMatch(host -> Integer.parseInt(host.substring(1)) < 8),
+            expired.toString());
         assertFalse(holding);
     }
 
--- a/fleet/lab/src/test/java/barleyfall/lab/edge/PeerCostTest.java
+++ b/fleet/lab/src/test/java/barleyfall/lab/edge/PeerCostTest.java
@@ -25,6 +25,7 @@
     /** In which ever new names filled the heap. */
     private static final int LONG_FLOOD_SECONDS = 8;
     private static final int SHORT_FLOOD_SECONDS = 3;
+    private static final int FIRST_CUSTOMER = 0x10000;
     private static final String CUSTOMER = "0000000000000002";
     /** As many as the node leaves open on one connection. */
     private static final int MAX_OPEN = 256;
@@ -50,12 +51,14 @@
 
     /** Each new name left state for half a minute: the heap was full, and the node never answered again. */
     @ParameterizedTest
-    @CsvSource({"1, 1, 1, 20", "4, 1, 20, 20", "20, 1, 1, 6000", "8, 1, 1, 3600000", "4, 300000, 2147483647, 3600000"})
+    @CsvSource({"1, 1, 1, 20", "4, 1, 20, 20", "20, 1, 1, 6000", "8, 1, 1, 3600000",
+        "4, 300000, 2147483647, 3600000"})
     void everNewCustomersCostNoOtherClient(int connections, int units, int spread, int timeoutMs)
         throws Exception {
         start();
-        floodBesideSteadyClients(connections, LONG_FLOOD_SECONDS, number -> EdgeFixture.request(String.format("%016x", 0x10000L + number),
-            "c=read,t=p,d=" + timeoutMs + ",units=" + units + ",spread=" + spread + ",first=0", number));
+        String pairs = "c=read,t=p,d=" + timeoutMs + ",units=" + units + ",spread=" + spread + ",first=0";
+        floodBesideSteadyClients(connections, LONG_FLOOD_SECONDS,
+            number -> EdgeFixture.request(EdgeFixture.hex(FIRST_CUSTOMER + number), pairs, number));
     }
 
     /** A number of 64,000 digits took 0.3 s of the event loop, as its time grew with the square of these. */
--- a/src/main/java/willowyoke/CustomerTable.java
+++ b/src/main/java/willowyoke/CustomerTable.java
@@ -12,9 +12,9 @@
 import java.util.function.Consumer;
 
 /**
- * The customers that a gateway keeps state of. Anyone may name customers, so their number is bounded: when the
- * table is full, those that are remembered for nothing make room. Where there are none, a connection that has
- * brought more than its share of the customers can bring no further ones, and others still can.
+ * The customers that a gateway keeps state of. Anyone may name customers, so their number is bounded: when
+ * the table is full, those that are remembered for nothing make room. Where there are none, a connection that
+ * has brought more than its share of the customers can bring no further ones, and others still can.
  */
 final class CustomerTable {
     /** About 1 KB of heap each. */
--- a/src/main/java/willowyoke/Gateway.java
+++ b/src/main/java/willowyoke/Gateway.java
@@ -147,8 +147,8 @@
         int customerGatewayCount, int firstGateway, boolean clientRetry, long source) {
 
         /** Creates a request of which the host does not know the connection. */
-        public Request(long id, String requestClass, String plan, String customer, double timeoutMs, int units,
-            int customerGatewayCount, int firstGateway, boolean clientRetry) {
+        public Request(long id, String requestClass, String plan, String customer, double timeoutMs,
+            int units, int customerGatewayCount, int firstGateway, boolean clientRetry) {
             this(id, requestClass, plan, customer, timeoutMs, units, customerGatewayCount, firstGateway,
                 clientRetry, 0);
         }
--- a/src/main/java/willowyoke/GatewayPolicy.java
+++ b/src/main/java/willowyoke/GatewayPolicy.java
@@ -398,7 +398,8 @@
     @Override public void discoveryFailed(double timeMs) {
         advanceTo(timeMs);
         if (settings.discoveryOnRequest()) {
-            schedule(TimerQueue.Kind.SUBSCRIBE, nowMs + subscribeBackoffMs * (0.5 + random.nextDouble()), null);
+            schedule(TimerQueue.Kind.SUBSCRIBE,
+                nowMs + subscribeBackoffMs * (0.5 + random.nextDouble()), null);
             subscribeBackoffMs = Math.min(2 * subscribeBackoffMs, 32 * QUOTA_PERIOD_MS);
         }
     }
--- a/src/main/java/willowyoke/net/CallCommand.java
+++ b/src/main/java/willowyoke/net/CallCommand.java
@@ -10,8 +10,8 @@
 import java.util.List;
 
 /**
- * A client's CALL.GET or CALL.POST command, parsed: the request's id, the customer, and the pairs of names and
- * values that the decision module uses. The pairs themselves stay in the command alone.
+ * A client's CALL.GET or CALL.POST command, parsed: the request's id, the customer, and the pairs of names
+ * and values that the decision module uses. The pairs themselves stay in the command alone.
  *
  * @param timeoutStart where the value of the timeout (pair d) begins in the pairs, in bytes
  * @param timeoutEnd where it ends
--- a/src/main/java/willowyoke/net/ClientConnection.java
+++ b/src/main/java/willowyoke/net/ClientConnection.java
@@ -607,8 +607,8 @@
 
     /**
      * Looks whether the client has closed its connection: what waits for an attempt on it is then cancelled.
-     * Reads what the client has sent, up to a bound; where more may be there, or nothing is read, the state of
-     * the socket tells of a close behind it.
+     * Reads what the client has sent, up to a bound; where more may be there, or nothing is read, the state
+     * of the socket tells of a close behind it.
      */
     void lookForClose() {
         if (closed || outputEnded) {
--- a/src/main/java/willowyoke/net/LongValue.java
+++ b/src/main/java/willowyoke/net/LongValue.java
@@ -11,8 +11,8 @@
 import java.util.ArrayDeque;
 
 /**
- * A value that is received in chunks. It is held until it is whole, or until it is passed on while it arrives:
- * once a part of it has been passed on, a break ends the client's connection.
+ * A value that is received in chunks. It is held until it is whole, or until it is passed on while it
+ * arrives: once a part of it has been passed on, a break ends the client's connection.
  */
 final class LongValue {
     /** The longest value that is held, in bytes. */
--- a/src/test/java/willowyoke/RulesTest.java
+++ b/src/test/java/willowyoke/RulesTest.java
@@ -472,8 +472,9 @@
             + "|new (Random|Timer)\\(\\)");
         List<Path> sources = policySources();
         assertEquals(Set.of("GatewayPolicy", "ActiveRequest", "Attempt", "ClassStats", "Customer",
-            "CustomerTable", "TimerQueue", "TokenBucket", "TrackedServer", "Subset", "MemoryPolicy"), sources.stream()
-            .map(source -> source.getFileName().toString().replace(".java", "")).collect(Collectors.toSet()));
+            "CustomerTable", "TimerQueue", "TokenBucket", "TrackedServer", "Subset", "MemoryPolicy"),
+            sources.stream().map(source -> source.getFileName().toString().replace(".java", ""))
+                .collect(Collectors.toSet()));
         for (Path source : sources) {
             List<String> lines = Files.readAllLines(source);
             assertTrue(lines.get(0).contains("Gateway.java"), source.toString());
--- a/src/test/java/willowyoke/net/EdgeNodeTest.java
+++ b/src/test/java/willowyoke/net/EdgeNodeTest.java
@@ -1194,7 +1194,7 @@
         assertEquals(List.of("-BUSY 1500"), client.readMessage());
     }
 
-    /** A value that its server writes slowly was held back, and cut off at its time, for a command behind it. */
+    /** A value that its server writes slowly was held, and cut off at its time, for a command behind it. */
     @Test void slowLongValueIsPassedOnWithCommandBehindIt() throws Exception {
         start();
         Peer.Connection client = requestWithCommandBehind(500);
