--- a/fleet/lab/src/main/java/barleyfall/lab/edge/UpstreamConnections.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/edge/UpstreamConnections.java
@@ -1,6 +1,5 @@
 package barleyfall.lab.edge;
 
-import barleyfall.lab.standin.RefusalLine;
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
@@ -45,7 +44,7 @@
                 .write(command.toString().getBytes(StandardCharsets.ISO_8859_1));
             List<String> answer = BlockingRespReader.read(connection.in());
             String first = answer.get(0);
-            return first.startsWith("-") ? RefusalLine.isRefusal(first) ? "-BUSY\r\n" : "-ERR failed\r\n"
+            return first.startsWith("-") ? isRefusal(first) ? "-BUSY\r\n" : "-ERR failed\r\n"
                 : "$" + first.length() + "\r\n" + first + "\r\n";
         } catch (IOException broken) {
             connections.remove(server);
@@ -54,6 +53,11 @@
         }
     }
 
+    /** Whether a line is the refusal of a flag server, alone or with a load report. */
+    private static boolean isRefusal(String line) {
+        return line.equals("-BUSY") || line.startsWith("-BUSY ");
+    }
+
     /** Returns the open connection to a server or opens one. */
     private Connection connectionTo(String server) throws IOException {
         Connection connection = connections.get(server);
--- a/fleet/lab/src/main/java/barleyfall/lab/standin/RefusalLine.java
+++ b/fleet/lab/src/main/java/barleyfall/lab/standin/RefusalLine.java
@@ -1,14 +1,14 @@
 package barleyfall.lab.standin;
 
 /** The error line that refuses a request: its first word is BUSY, which another word may only begin like. */
-public final class RefusalLine {
+final class RefusalLine {
     private static final String REFUSAL = "-BUSY";
     private static final String REFUSAL_WITH_WORDS = REFUSAL + " ";
 
     private RefusalLine() { }
 
     /** Whether an answer is a refusal; null is none. */
-    public static boolean isRefusal(String answer) {
+    static boolean isRefusal(String answer) {
         return answer != null && (answer.equals(REFUSAL) || answer.startsWith(REFUSAL_WITH_WORDS));
     }
 
